--- /dev/null
+++ b/include/deckcart/policy.hpp
@@ -0,0 +1,219 @@
+// The interface of the decision module: what can happen to a gateway, what it can do, and the one entry
+// point between the two. Types only; every decision is taken in src/policy.cpp.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace deckcart {
+
+using Span = std::chrono::microseconds;  // a time is the span since the clock's start
+using InstanceId = std::int64_t;         // one running gateway
+using ReqId = std::uint64_t;
+using ServerId = std::string;
+using BuildNo = int;
+
+enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+enum class Effect { retriable, deduped, nonRetriable };
+enum class Group { all, zone, cell };
+enum class Readiness { live, draining, gone };
+enum class Gate { firstVote, byCount, clock };
+enum class Phase { onTrial, goingBack, released, withdrawn };
+enum class Verdict { none, on, hold, back };
+
+struct Route {
+    Span latencyObjective{};  // when an answer is wanted
+    Effect effect = Effect::retriable;
+    Group group = Group::all;
+    Span repeatWindow{};
+    double benefit = 1;
+    double lateBenefit = 0;
+};
+
+struct StartValues {
+    std::uint64_t seed = 0;
+    int gateways = 1;
+    int zone = 0;
+    std::vector<Route> routes;
+    std::vector<double> accountShares;
+    // what is allowed
+    bool mayCopy = false;
+    bool mayCancel = false;
+    bool mayProbe = false;
+    int mostTries = 1;
+    Span longestRetryAfter{};
+    bool retryAfterTold = false;
+    bool listMustBeAsked = false;
+    Span askWithin{};
+    double crossZoneFee = 0;
+    // figures of the rules
+    Span drainGrace{};
+    double coldFrom = 1;
+    Span warmWithin{};
+    double tipMultiple = 1;
+    Span overloadFor{};
+    // releases
+    Gate gate = Gate::firstVote;
+    bool replacedInPlace = false;
+    bool exposurePerRoute = false;
+    bool keysStay = false;
+    int guardedStages = 0;
+    double spareTries = 0;
+    Span exposureSpan{};
+    std::vector<double> exposureCaps;
+    std::vector<double> stageShares;
+    Span voteLife{};
+    Span voteAnswerWithin{};
+    Span leastStage{};
+    double reportedWrongShare = 0;
+};
+
+struct ServerEntry {
+    ServerId id;
+    int zone = 0;
+    int cell = 0;
+    BuildNo build = 0;
+    Readiness readiness = Readiness::live;
+    double weight = 1;
+    std::optional<Span> startedAt;  // empty: long ago
+};
+
+// ---- what happened ----
+struct Started {
+    StartValues values;
+};
+struct Stopped {};
+struct ListTold {
+    bool complete = false;
+    std::vector<ServerEntry> entries;
+};
+struct ListFailed {};
+struct ReqArrived {
+    ReqId req = 0;
+    std::string key;
+    int route = 0;
+    int account = 0;
+    bool repeat = false;
+    std::optional<Span> workHint;
+    Span notAfter{};
+};
+struct AnswerBegan {
+    ReqId req = 0;
+    int tryNo = 0;
+};
+struct TryEnded {
+    ReqId req = 0;
+    int tryNo = 0;
+    bool reqOver = false;
+    Outcome how = Outcome::ok;
+    ServerId server;
+    Span took{};
+    std::vector<double> load;
+};
+struct ReqGone {
+    ReqId req = 0;
+};
+struct TimerFired {
+    std::uint64_t token = 0;
+};
+struct ProbeEnded {
+    ServerId server;
+    Outcome how = Outcome::ok;
+    Span took{};
+    std::vector<double> load;
+};
+struct PeerNote {
+    int from = 0;
+    std::string bytes;
+};
+struct StageNews {
+    bool answersVote = false;
+    Outcome how = Outcome::ok;
+    BuildNo build = 0;
+    int step = 0;
+    Phase phase = Phase::onTrial;
+    double cap = 0;
+    Span since{};
+};
+struct TallyTold {
+    BuildNo build = 0;
+    int route = 0;
+    int counted = 0;
+    int lost = 0;
+    Span meanTook{};
+    Span since{};
+};
+struct WrongReported {
+    ServerId server;
+    int route = 0;
+    Span since{};
+};
+using Event = std::variant<Started, Stopped, ListTold, ListFailed, ReqArrived, AnswerBegan, TryEnded, ReqGone,
+                           TimerFired, ProbeEnded, PeerNote, StageNews, TallyTold, WrongReported>;
+
+// ---- what is to be done ----
+struct SendTry {
+    ReqId req = 0;
+    ServerId server;
+    Span limit{};  // zero: until the client gives up
+};
+struct CancelTry {
+    ReqId req = 0;
+    int tryNo = 0;
+};
+struct Shed {
+    ReqId req = 0;
+    Span retryIn{};
+};
+struct EndErrored {
+    ReqId req = 0;
+};
+struct SetTimer {
+    Span after{};
+    std::uint64_t token = 0;
+};
+struct Probe {
+    ServerId server;
+};
+struct CloseIdle {
+    ServerId server;
+};
+struct TellPeers {
+    std::optional<int> peer;  // empty: all of them
+    std::string bytes;
+};
+struct FollowList {
+    bool active = true;
+};
+struct FetchList {};
+struct Vote {
+    BuildNo build = 0;
+    int step = 0;
+    Verdict verdict = Verdict::none;
+};
+struct LogLine {
+    std::string words;
+};
+using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, TellPeers, FollowList,
+                            FetchList, Vote, LogLine>;
+
+// The records of the instances that one process hosts. They share nothing.
+class Policy {
+  public:
+    Policy();
+    ~Policy();
+    // The entry point: what happened to this instance at this time, in order; returns what it does now.
+    std::vector<Action> decide(InstanceId who, Span now, const std::vector<Event> &happened);
+
+  private:
+    struct Record;
+    std::map<InstanceId, std::unique_ptr<Record>> records;
+};
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/policy.cpp
@@ -0,0 +1,760 @@
+// The decision module. Callers reach it by Policy::decide, once for each instance and batch, with what
+// happened; it returns what that instance does now. The interface is include/deckcart/policy.hpp.
+//
+// A req goes through: place() picks the build (sticky hash under 0.7 of the cap), pick() the server (lower
+// of two), send() passes passes() - the one place that holds the rules - and settle() reads how a try ended.
+// judge() compares the trial build with the earlier one, window by window, and sets the vote.
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <deckcart/policy.hpp>
+#include <deque>
+#include <random>
+#include <set>
+
+namespace deckcart {
+namespace {
+
+using namespace std::chrono_literals;
+
+// ---- Tuned values, each with its reason ----
+constexpr Span kTick = 20ms;           // housekeeping: well under the shortest wait that it decides on
+constexpr double kHashShare = 0.7;     // the design's: first sends under this part of the cap
+constexpr Span kColdEvidence = 5s;     // the design's: outcomes from younger servers are dropped
+constexpr int kWindowLeast = 20;       // the design's least count of outcomes a build
+constexpr Span kWindowSpan = 1s;       // the design's least length of a window
+constexpr double kFailMargin = 0.05;   // the design's absolute tolerance for failures
+constexpr double kFailRatio = 2;       // the design's relative tolerance for failures
+constexpr int kSlowLeast = 50;         // the design's least count for the p95
+constexpr double kSlowRatio = 1.5;     // the design's relative tolerance for the p95
+constexpr Span kSlowMargin = 20ms;     // the design's absolute tolerance for the p95
+constexpr int kHealthyStreak = 3;      // the design's
+constexpr int kUnhealthyStreak = 2;    // the design's
+constexpr Span kQuiet = 5s;            // the design's: a stage this long free of trial failures casts 'on'
+constexpr Span kPatience = 2s;         // 'on' no sooner than this after the stage's clock has started
+constexpr Span kClockLag = 1s;         // the clock starts about this long after the last machine runs
+constexpr Span kMachinesLate = 8s;     // the clock starts by then even if machines are missing
+constexpr double kColdMargin = 0.5;    // part of the tip multiple that is used: unequal gateways add up
+constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
+constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
+constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
+constexpr double kLatencyFade = 4;     // seconds until an unused server's figure has mostly faded to the usual
+constexpr int kEjectAfter = 2;         // unanswered tries in a row that put a server aside
+constexpr Span kEjectFirst = 1s;       // first time aside; doubles to kEjectMost
+constexpr Span kEjectMost = 8s;
+constexpr int kPairsBack = 4;          // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kWrongBack = 2;          // reports of wrong answers that cast 'back' (one may be false)
+constexpr Span kVoteRetry = 250ms;     // pause after a vote that was turned away
+
+double secs(Span s) { return std::chrono::duration<double>(s).count(); }
+Span span(double seconds) { return Span{std::llround(seconds * 1e6)}; }
+
+bool provesNotRun(Outcome how) {
+    return how == Outcome::full || how == Outcome::connectFailed || how == Outcome::moot;
+}
+// Refusals and failed connects are capacity or machine trouble; cancelled tries were our own doing.
+bool isFailure(Outcome how) {
+    return how == Outcome::error || how == Outcome::timeout || how == Outcome::reset;
+}
+
+// One record a server, found by its id.
+struct Server {
+    ServerEntry entry;
+    std::set<std::pair<Span, ReqId>> out;  // tries under way, oldest first
+    double slowness = 1;                   // latency over the route's usual one, decaying
+    Span slownessAt{};
+    int unanswered = 0;  // tries in a row without an answer
+    Span asideUntil{};
+    Span asideFor{};
+    std::deque<Span> coldSends;
+
+    bool listed() const { return entry.readiness == Readiness::live; }
+    Span age(Span now) const { return entry.startedAt ? now - *entry.startedAt : Span{1h}; }
+};
+
+struct Try {
+    Server *server;
+    BuildNo build;
+    int zone, cell;
+    Span sent;
+    bool cold;
+    bool out = true;
+    Outcome how = Outcome::ok;
+
+    bool mayHaveRun() const { return out || !provesNotRun(how); }
+};
+
+struct Req {
+    ReqArrived in;
+    Span arrived;
+    std::vector<Try> tries;
+    Span copyAt{};  // when a second copy is due; zero: none
+    bool answered = false;
+
+    bool outstanding() const {
+        return std::any_of(tries.begin(), tries.end(), [](const Try &t) { return t.out; });
+    }
+    const Try *firstThatMayHaveRun() const {
+        const auto it = std::find_if(tries.begin(), tries.end(), [](const Try &t) { return t.mayHaveRun(); });
+        return it == tries.end() ? nullptr : &*it;
+    }
+};
+
+// What one build did in a window, by route.
+struct Arm {
+    struct Cell {
+        double n = 0, fails = 0;
+    };
+    std::vector<Cell> routes;
+    std::deque<double> slowness;                        // of completed tries, over the route's usual latency
+    std::map<ServerId, Cell> servers;
+
+    explicit Arm(std::size_t n) : routes(n) {}
+    double count() const {
+        double n = 0;
+        for (const auto &c : routes) n += c.n;
+        return n;
+    }
+    double fails() const {
+        double n = 0;
+        for (const auto &c : routes) n += c.fails;
+        return n;
+    }
+    void add(int route, bool failed) { routes[route].n += 1, routes[route].fails += failed; }
+};
+
+double quantile(std::vector<double> values, double q) {
+    if (values.empty()) return 0;
+    const auto at = std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+    std::nth_element(values.begin(), values.begin() + at, values.end());
+    return values[at];
+}
+
+// The same for every gateway, whatever the standard library hashes with.
+double place01(const std::string &text, std::uint64_t salt) {
+    std::uint64_t h = 0xcbf29ce484222325u ^ (salt * 0x9e3779b97f4a7c15u);
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+    h ^= h >> 31, h *= 0xbf58476d1ce4e5b9u, h ^= h >> 29;
+    return static_cast<double>(h >> 11) / 9007199254740992.0;
+}
+
+}  // namespace
+
+// One record an instance: all that a gateway knows.
+struct Policy::Record {
+    StartValues v;
+    Span now;
+    std::mt19937 rng;
+    std::vector<Action> out;
+
+    std::map<ServerId, Server> servers;
+    bool following = false;
+    Span askAgainAt{};
+
+    std::map<ReqId, Req> reqs;
+    std::vector<std::deque<Span>> taken;                      // accepted reqs by route, within the exposure span
+    std::map<BuildNo, std::vector<std::deque<Span>>> trials;  // tries at a build by route, likewise
+    std::vector<double> usual;                                // by route: usual seconds of an answer
+    std::vector<int> usualSeen;
+    double retryBudget = kRetryBurst;
+    std::map<std::string, BuildNo> stays;  // keys that a build has answered
+
+    bool told = false;  // stage news has come since the start
+    StageNews news;
+    Span newsBegan{};  // when the stage told last began
+
+    // the judge
+    Arm trial{0}, earlier{0}, lastEarlier{0};
+    Span windowBegan{};
+    int healthy = 0, unhealthy = 0;
+    Span lastTrialFailure{};
+    int trialSeen = 0;
+    int pairsTrial = 0, pairsEarlier = 0;
+    int wrong = 0;
+    bool bad = false;
+    Verdict wanted = Verdict::none, standing = Verdict::none;
+    Span voteDue{};
+    bool votePending = false;
+    std::string why;
+    std::map<BuildNo, Arm> tally;
+
+    Record(const StartValues &start, Span at)
+        : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
+          taken(routesCounted()), usual(v.routes.size()), usualSeen(v.routes.size()), trial(v.routes.size()),
+          earlier(v.routes.size()), lastEarlier(v.routes.size()), windowBegan(at) {
+        for (std::size_t r = 0; r < usual.size(); ++r) usual[r] = secs(v.routes[r].latencyObjective) / 4;
+        if (v.listMustBeAsked) follow();
+        timer();
+    }
+
+    // ---- small helpers ----
+    std::size_t routesCounted() const { return v.exposurePerRoute ? v.routes.size() : 1; }
+    std::size_t counted(int route) const { return v.exposurePerRoute ? static_cast<std::size_t>(route) : 0; }
+    const Route &route(const Req &rq) const { return v.routes.at(static_cast<std::size_t>(rq.in.route)); }
+    void log(const std::string &words) { out.push_back(LogLine{words}); }
+    void timer() { out.push_back(SetTimer{kTick, 0}); }
+    std::size_t any(std::size_t n) { return static_cast<std::size_t>(rng() % n); }
+
+    // The part of its capacity that a server has by now, on the slowest path the settings allow.
+    double warmth(const Server &s) const {
+        const Span age = s.age(now);
+        if (age >= v.warmWithin || v.warmWithin <= Span{0}) return 1;
+        return v.coldFrom + (1 - v.coldFrom) * std::max(0.0, secs(age) / secs(v.warmWithin));
+    }
+    double slowness(const Server &s) const {
+        const double keep = std::exp(-secs(now - s.slownessAt) / kLatencyFade);
+        double figure = 1 + (s.slowness - 1) * keep;
+        // The oldest try under way tells of a server that answers nothing before any time-out does.
+        if (!s.out.empty()) {
+            const auto rq = reqs.find(s.out.begin()->second);
+            if (rq != reqs.end())
+                figure = std::max(figure, 0.5 * secs(now - s.out.begin()->first) /
+                                              usual[static_cast<std::size_t>(rq->second.in.route)]);
+        }
+        return figure;
+    }
+
+    // ---- builds ----
+    bool onTrial(BuildNo b) const {
+        if (!told) return b > oldestListed();
+        return b > news.build || (b == news.build && news.phase != Phase::released);
+    }
+    BuildNo oldestListed() const {
+        BuildNo least = 1 << 30;
+        for (const auto &[id, s] : servers)
+            if (s.listed()) least = std::min(least, s.entry.build);
+        return least;
+    }
+    // The newest listed build that is not on trial; 0 if none.
+    BuildNo baseBuild() const {
+        BuildNo most = 0;
+        for (const auto &[id, s] : servers)
+            if (s.listed() && !onTrial(s.entry.build)) most = std::max(most, s.entry.build);
+        return most;
+    }
+    double cap(BuildNo b) const {
+        if (told && b == news.build) return news.cap;
+        return v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
+    }
+    int step(BuildNo b) const { return told && b == news.build ? news.step : 0; }
+
+    // ---- the rules: the one place that every send passes ----
+    bool passes(const Req &rq, const Server &s) {
+        const Route &rt = route(rq);
+        // every req one timely answer
+        if (rq.answered || now >= rq.in.notAfter) return false;
+        if (static_cast<int>(rq.tries.size()) >= v.mostTries) return false;
+        if (!v.mayCopy && rq.outstanding()) return false;
+        // no effect twice
+        if (const Try *ran = rq.firstThatMayHaveRun()) {
+            if (rt.effect == Effect::nonRetriable) return false;
+            if (rt.effect == Effect::deduped) {
+                if (now > ran->sent + rt.repeatWindow - kTick) return false;
+                if (rt.group != Group::all && ran->zone != s.entry.zone) return false;
+                if (rt.group == Group::cell && ran->cell != s.entry.cell) return false;
+            }
+        }
+        // drains
+        if (!s.listed()) return false;
+        // exposure
+        const BuildNo build = s.entry.build;
+        if (onTrial(build)) {
+            if (step(build) < v.guardedStages && rt.effect != Effect::retriable) return false;
+            if (!withinCap(build, rq.in.route)) return false;
+        }
+        if (v.keysStay && !rq.in.key.empty()) {
+            const auto stay = stays.find(rq.in.key);
+            if (stay != stays.end() && build < stay->second) return false;
+        }
+        // cold servers
+        return withinColdBudget(s);
+    }
+
+    // Counts tries over a tick more and accepted reqs over a tick less than the span: it may end anywhere.
+    bool withinCap(BuildNo build, int route) {
+        const double share = cap(build);
+        if (share <= 0) return false;
+        const std::size_t c = counted(route);
+        auto &tries = trials.try_emplace(build, routesCounted()).first->second[c];
+        while (!tries.empty() && tries.front() < now - v.exposureSpan - kTick) tries.pop_front();
+        while (!taken[c].empty() && taken[c].front() <= now - v.exposureSpan + kTick) taken[c].pop_front();
+        return static_cast<double>(tries.size()) + 1 <=
+               v.spareTries + share * static_cast<double>(taken[c].size());
+    }
+
+    // Guards a cold server against all gateways together: each gives it no more, over the stated span, than a
+    // part of the tip multiple times its warmth times what a warm server would get of this gateway's reqs. If
+    // every gateway does so the sum is under the multiple unless the fleet itself is far overloaded. Could
+    // harm where a gateway's own share of a small stage is larger than that: the reqs go to the other build.
+    bool withinColdBudget(const Server &s) const {
+        if (s.age(now) >= v.warmWithin + kWindowSpan) return true;
+        const auto from = std::find_if(s.coldSends.begin(), s.coldSends.end(),
+                                       [&](Span at) { return at > now - v.overloadFor; });
+        const double sent = static_cast<double>(s.coldSends.end() - from);
+        return sent + 1 <= std::max(1.0, v.tipMultiple * kColdMargin * warmth(s) * perServer());
+    }
+    // What an average place gets of this gateway's reqs within the overload span.
+    double perServer() const {
+        std::size_t n = 0, places = 0;
+        for (const auto &t : recent) n += t > now - v.overloadFor;
+        for (const auto &[id, s] : servers) places += s.listed() && !onTrial(s.entry.build);
+        if (places == 0)
+            for (const auto &[id, s] : servers) places += s.listed();
+        return static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(places, 1));
+    }
+    std::deque<Span> recent;  // accepted reqs within the overload span
+
+    // ---- sending ----
+    bool aside(const Server &s) const { return now < s.asideUntil; }
+
+    // Inside a build: the lower of two random servers by (in-flight + 1) x decaying latency / weight.
+    Server *pick(const Req &rq, BuildNo build, bool desperate) {
+        std::vector<Server *> open;
+        for (auto &[id, s] : servers) {
+            if (s.entry.build != build || !s.listed() || (!desperate && aside(s))) continue;
+            const bool tried =
+                std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.server == &s; });
+            if (tried && !desperate) continue;
+            if (passes(rq, s)) open.push_back(&s);
+        }
+        if (open.empty()) return nullptr;
+        const std::size_t a = any(open.size());
+        std::size_t b = open.size() > 1 ? any(open.size() - 1) : a;
+        if (open.size() > 1 && b >= a) ++b;
+        return score(*open[b]) < score(*open[a]) ? open[b] : open[a];
+    }
+    double score(const Server &s) const {
+        const double far = s.entry.zone == v.zone ? 1 : 1 + 4 * v.crossZoneFee;
+        const double weight = s.entry.weight > 0 ? s.entry.weight : 1;
+        return static_cast<double>(s.out.size() + 1) * slowness(s) * far / (weight * warmth(s));
+    }
+
+    // The builds in the order in which this req should try them.
+    std::vector<BuildNo> place(const Req &rq) const {
+        const BuildNo base = baseBuild();
+        const bool open = told && news.phase == Phase::onTrial && !bad;
+        const BuildNo rev = told ? news.build : 0;
+        bool toTrial = false;
+        if (open) {
+            const std::string &key = rq.in.key.empty() ? std::to_string(rq.in.req) : rq.in.key;
+            toTrial = place01(key, static_cast<std::uint64_t>(rev)) < kHashShare * news.cap;
+            // A failed req's next try goes to the other build.
+            if (!rq.tries.empty()) toTrial = onTrial(rq.tries.back().build) ? false : true;
+        }
+        std::vector<BuildNo> order;
+        if (toTrial) order.push_back(rev);
+        if (base) order.push_back(base);
+        if (!toTrial && told && news.phase != Phase::withdrawn) order.push_back(rev);
+        // Older builds that are still listed, newest first.
+        std::set<BuildNo, std::greater<>> rest;
+        for (const auto &[id, s] : servers)
+            if (s.listed() && s.entry.build < base) rest.insert(s.entry.build);
+        order.insert(order.end(), rest.begin(), rest.end());
+        return order;
+    }
+
+    // Tries to send; true if a try went out.
+    bool dispatch(Req &rq) {
+        const auto order = place(rq);
+        for (const bool desperate : {false, true})
+            for (const BuildNo build : order)
+                if (Server *s = pick(rq, build, desperate)) {
+                    send(rq, *s);
+                    return true;
+                }
+        return false;
+    }
+
+    void send(Req &rq, Server &s) {
+        if (!passes(rq, s)) return;
+        const Route &rt = route(rq);
+        const double usualS = usual[static_cast<std::size_t>(rq.in.route)];
+        const Span wantedBy = rq.arrived + rt.latencyObjective;
+        // A first try is cut (or copied) while another can still answer within the latency objective.
+        const Span patience = std::clamp(span(4 * usualS), rt.latencyObjective * 35 / 100, rt.latencyObjective * 6 / 10);
+        const bool again = rt.effect != Effect::nonRetriable &&
+                           static_cast<int>(rq.tries.size()) + 1 < v.mostTries && now + patience < wantedBy;
+        Span limit{0};
+        rq.copyAt = Span{0};
+        if (again && v.mayCopy && rq.tries.empty()) rq.copyAt = now + patience;
+        else if (again && !v.mayCopy && retryBudget >= 1) limit = patience;
+        if (now + limit >= rq.in.notAfter) limit = Span{0};
+        rq.tries.push_back(
+            {&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
+        s.out.insert({now, rq.in.req});
+        if (s.age(now) < v.warmWithin + kWindowSpan) s.coldSends.push_back(now);
+        if (onTrial(s.entry.build))
+            trials.try_emplace(s.entry.build, routesCounted()).first->second[counted(rq.in.route)].push_back(now);
+        out.push_back(SendTry{rq.in.req, s.entry.id, limit});
+    }
+
+    // The final answer of a req that is given up: shed where that is true, errored else.
+    void giveUp(Req &rq) {
+        if (rq.answered) return;
+        rq.answered = true;
+        const Route &rt = route(rq);
+        const bool ran = rq.firstThatMayHaveRun() != nullptr;
+        const bool mayShed =
+            rt.effect == Effect::retriable || !ran || (rt.effect == Effect::deduped && rt.group == Group::all);
+        if (v.mayCancel)
+            for (std::size_t k = 0; k < rq.tries.size(); ++k)
+                if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, static_cast<int>(k)});
+        if (mayShed) out.push_back(Shed{rq.in.req, v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0}});
+        else out.push_back(EndErrored{rq.in.req});
+    }
+    void drop(std::map<ReqId, Req>::iterator it) {
+        if (!it->second.outstanding()) reqs.erase(it);
+    }
+
+    // ---- events ----
+    void on(const Started &) {}
+    void on(const Stopped &) {}
+    void on(const AnswerBegan &) {}
+    void on(const ProbeEnded &) {}
+    void on(const PeerNote &) {}
+
+    void follow() {
+        out.push_back(FollowList{true});
+        askAgainAt = now + std::max<Span>(v.askWithin / 2, kWindowSpan);
+    }
+    void on(const ListFailed &) { askAgainAt = now + kWindowSpan / 2, following = false; }
+    void on(const ListTold &list) {
+        if (list.complete)
+            for (auto &[id, s] : servers)
+                if (std::none_of(list.entries.begin(), list.entries.end(), [&](const auto &e) { return e.id == id; }))
+                    s.entry.readiness = Readiness::gone;
+        for (const auto &e : list.entries) {
+            Server &s = servers[e.id];
+            if (s.entry.startedAt != e.startedAt || s.entry.build != e.build) {
+                s.slowness = 1, s.unanswered = 0, s.asideUntil = s.asideFor = Span{0};
+                s.coldSends.clear();
+            }
+            s.entry = e;
+        }
+        following = true;
+    }
+
+    void on(const ReqArrived &in) {
+        auto &rq = reqs.try_emplace(in.req, Req{in, now, {}}).first->second;
+        taken[counted(in.route)].push_back(now);
+        recent.push_back(now);
+        retryBudget = std::min(kRetryBurst, retryBudget + kRetryRate);
+        if (!dispatch(rq)) hold(reqs.find(in.req));
+    }
+
+    // A req that can go nowhere waits while an answer in time can still be had, and no longer.
+    void hold(std::map<ReqId, Req>::iterator it) {
+        Req &rq = it->second;
+        const double usualS = usual[static_cast<std::size_t>(rq.in.route)];
+        const Span latest = std::min(rq.arrived + route(rq).latencyObjective - span(usualS), rq.in.notAfter - 2 * kTick);
+        if (now < latest && static_cast<int>(rq.tries.size()) < v.mostTries && mayGoAgain(rq)) return;
+        giveUp(rq);
+        drop(it);
+    }
+    bool mayGoAgain(const Req &rq) const {
+        const Try *ran = rq.firstThatMayHaveRun();
+        const Route &rt = route(rq);
+        if (!ran || rt.effect == Effect::retriable) return true;
+        return rt.effect == Effect::deduped && now <= ran->sent + rt.repeatWindow - 2 * kTick;
+    }
+
+    void on(const ReqGone &gone) {
+        const auto it = reqs.find(gone.req);
+        if (it == reqs.end()) return;
+        it->second.answered = true;
+        if (v.mayCancel)
+            for (std::size_t k = 0; k < it->second.tries.size(); ++k)
+                if (it->second.tries[k].out) out.push_back(CancelTry{gone.req, static_cast<int>(k)});
+        drop(it);
+    }
+
+    void on(const TryEnded &end) {
+        const auto it = reqs.find(end.req);
+        if (it == reqs.end() || end.tryNo >= static_cast<int>(it->second.tries.size())) return;
+        Req &rq = it->second;
+        Try &t = rq.tries[static_cast<std::size_t>(end.tryNo)];
+        t.out = false, t.how = end.how;
+        t.server->out.erase({t.sent, end.req});
+        settle(rq, t, end);
+        if (end.reqOver || end.how == Outcome::ok) {
+            if (!rq.answered && v.mayCancel)
+                for (std::size_t k = 0; k < rq.tries.size(); ++k)
+                    if (rq.tries[k].out) out.push_back(CancelTry{end.req, static_cast<int>(k)});
+            rq.answered = true;
+        }
+        if (rq.answered) return drop(it);
+        if (rq.outstanding()) return;
+        const bool late = now + span(0.5 * usual[static_cast<std::size_t>(rq.in.route)]) >=
+                          rq.arrived + route(rq).latencyObjective;
+        if (!late && mayGoAgain(rq) && retryBudget >= 1) {
+            retryBudget -= 1;
+            if (dispatch(rq)) return;
+            return hold(it);
+        }
+        giveUp(rq);
+        drop(it);
+    }
+
+    // Reads how a try ended: the server's health and latency, the usual times, the evidence on the builds.
+    void settle(Req &rq, const Try &t, const TryEnded &end) {
+        Server &s = *t.server;
+        const auto r = static_cast<std::size_t>(rq.in.route);
+        const double took = secs(now - t.sent);
+        if (end.how == Outcome::ok) {
+            const double ratio = took / usual[r];
+            const double keep = std::exp(-secs(now - s.slownessAt) / kLatencyFade);
+            s.slowness = (1 - kLatencyGain) * (1 + (s.slowness - 1) * keep) + kLatencyGain * ratio;
+            s.slownessAt = now;
+            s.unanswered = 0, s.asideFor = Span{0};
+            if (!onTrial(t.build) && !t.cold) {
+                const double gain = std::max(0.01, 1.0 / (1 + usualSeen[r]++));
+                usual[r] += gain * (took - usual[r]);
+            }
+            if (v.keysStay && !rq.in.key.empty() && !rq.answered) {
+                BuildNo &stay = stays[rq.in.key];
+                stay = std::max(stay, t.build);
+            }
+        } else if (end.how == Outcome::error) s.unanswered = 0;
+        else if (end.how == Outcome::timeout || end.how == Outcome::reset || end.how == Outcome::connectFailed) {
+            if (++s.unanswered >= kEjectAfter) {
+                s.asideFor = std::clamp(s.asideFor * 2, kEjectFirst, kEjectMost);
+                s.asideUntil = now + s.asideFor;
+                if (s.asideFor == kEjectFirst) log("aside " + s.entry.id + " unanswered");
+            }
+        }
+        evidence(rq, t, end, took / usual[r]);
+    }
+
+    // ---- the judge ----
+    bool judged(BuildNo b) const { return told && b == news.build && news.phase != Phase::withdrawn; }
+
+    void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
+        if (!told || t.cold || end.how == Outcome::cancelled || provesNotRun(end.how)) return;
+        if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
+        const bool isTrial = t.build == news.build;
+        const bool failed = isFailure(end.how);
+        // A server that answers nothing is a machine's trouble: its silence tells nothing of the build.
+        if (failed && end.how != Outcome::error && t.server->unanswered >= kEjectAfter) return;
+        if (t.sent < newsBegan && isTrial && news.step == 0) return;
+        Arm &arm = isTrial ? trial : earlier;
+        if (!isTrial && t.build > news.build) return;
+        arm.add(rq.in.route, failed);
+        auto &cell = arm.servers[t.server->entry.id];
+        cell.n += 1, cell.fails += failed;
+        if (end.how == Outcome::ok) {
+            arm.slowness.push_back(ratio);
+            if (arm.slowness.size() > 2 * kSlowLeast) arm.slowness.pop_front();
+        }
+        if (isTrial) {
+            ++trialSeen;
+            if (failed) lastTrialFailure = now;
+        }
+        // The pair: a req that failed on one build and was done on the other.
+        if (end.how == Outcome::ok && rq.tries.size() > 1) {
+            const Try &before = rq.tries[rq.tries.size() - 2];
+            if (before.build != t.build && !before.out && before.how == Outcome::error) {
+                if (before.build == news.build) ++pairsTrial;
+                else if (isTrial) ++pairsEarlier;
+            }
+        }
+    }
+
+    void on(const WrongReported &w) {
+        const auto s = servers.find(w.server);
+        if (s != servers.end() && judged(s->second.entry.build)) ++wrong;
+    }
+    void on(const TallyTold &) {}
+
+    void on(const StageNews &n) {
+        if (n.answersVote) {
+            votePending = false;
+            if (n.how == Outcome::ok) standing = lastVote, voteDue = now + v.voteLife * 6 / 10;
+            else if (n.how == Outcome::full || n.how == Outcome::error) voteDue = now + kVoteRetry;
+            else voteDue = now + kVoteRetry;
+        }
+        if (n.how != Outcome::ok) return;
+        const Span began = now - n.since;
+        if (told && (n.build < news.build)) return;
+        const bool fresh = !told || n.build != news.build;
+        const bool changed = fresh || n.step != news.step || n.phase != news.phase;
+        told = true;
+        news = n;
+        if (!changed) return;
+        newsBegan = began;
+        if (fresh) {
+            bad = false, wrong = 0;
+            lastEarlier = Arm(v.routes.size());
+        }
+        if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
+            for (auto &[key, build] : stays)
+                if (build >= n.build) build = 0;
+        restart();
+        healthy = unhealthy = 0;
+        pairsTrial = pairsEarlier = trialSeen = 0;
+        lastTrialFailure = Span{0};
+        wanted = bad ? Verdict::back : Verdict::none;
+        standing = Verdict::none, voteDue = now, votePending = false;
+        char line[96];
+        std::snprintf(line, sizeof line, "stage build %d step %d phase %d cap %.3f", n.build, n.step,
+                      static_cast<int>(n.phase), n.cap);
+        log(line);
+    }
+
+    void restart() {
+        if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
+        trial = earlier = Arm(v.routes.size());
+        windowBegan = now;
+    }
+
+    // Expected failures of the earlier build on the trial's mix of routes, as a rate.
+    double expected(const Arm &mix, const Arm &from) const {
+        double sum = 0;
+        for (std::size_t r = 0; r < mix.routes.size(); ++r)
+            if (from.routes[r].n > 0) sum += mix.routes[r].n * from.routes[r].fails / from.routes[r].n;
+        return mix.count() > 0 ? sum / mix.count() : 0;
+    }
+
+    // When the clock of the stage has started, as far as the list tells; empty while machines are missing.
+    std::optional<Span> clockStart() const {
+        std::size_t places = 0, fresh = 0;
+        Span last = newsBegan;
+        for (const auto &[id, s] : servers) {
+            if (!s.listed()) continue;
+            const bool isNew = s.entry.build == news.build;
+            if (isNew) ++fresh, last = std::max(last, s.entry.startedAt.value_or(Span{0}));
+            if (v.replacedInPlace || !isNew) ++places;
+        }
+        const auto step = static_cast<std::size_t>(news.step);
+        const double share = step < v.stageShares.size() ? v.stageShares[step] : 1;
+        if (static_cast<double>(fresh) + 0.5 >= share * static_cast<double>(places)) return last + kClockLag;
+        if (now - newsBegan > kMachinesLate) return newsBegan + kMachinesLate;
+        return std::nullopt;
+    }
+
+    void convict(const std::string &reason) {
+        if (bad) return;
+        bad = true, why = reason;
+        wanted = Verdict::back, voteDue = now;
+    }
+
+    void judge() {
+        if (!told || bad || (news.phase != Phase::onTrial && news.phase != Phase::released)) return;
+        if (wrong >= kWrongBack) return convict("wrong answers");
+        if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
+        const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
+        if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast && base.count() >= kWindowLeast) {
+            const double failT = trial.fails() / trial.count(), failE = expected(trial, base);
+            bool sick = failT > failE + kFailMargin && failT > kFailRatio * failE;
+            const char *reason = "failures";
+            if (!sick && static_cast<int>(trial.slowness.size()) >= kSlowLeast &&
+                static_cast<int>(base.slowness.size()) >= kSlowLeast) {
+                const double p95T = quantile({trial.slowness.begin(), trial.slowness.end()}, 0.95);
+                const double p95E = quantile({base.slowness.begin(), base.slowness.end()}, 0.95);
+                const double unit = *std::min_element(usual.begin(), usual.end());
+                sick = p95T > kSlowRatio * p95E && (p95T - p95E) * unit > secs(kSlowMargin);
+                reason = "slow";
+            }
+            if (sick) healthy = 0, ++unhealthy;
+            else unhealthy = 0, ++healthy;
+            if (unhealthy >= kUnhealthyStreak) return convict(reason);
+            if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
+            restartCounts();
+        }
+        if (news.phase != Phase::onTrial) return;
+        if (v.gate == Gate::clock) {
+            const Verdict w = unhealthy > 0 ? Verdict::hold
+                              : healthy > 0 && wanted == Verdict::hold ? Verdict::none : wanted;
+            if (w != wanted) wanted = w, voteDue = now;
+            return;
+        }
+        const auto clock = clockStart();
+        if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
+        const bool quiet = now - newsBegan >= kQuiet && lastTrialFailure == Span{0};
+        if (healthy >= kHealthyStreak) wanted = Verdict::on, why = "healthy", voteDue = now;
+        else if (quiet) wanted = Verdict::on, why = "quiet", voteDue = now;
+    }
+
+    // A closed window's counts are dropped; the latencies stay, so that the p95 has its least count.
+    void restartCounts() {
+        if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
+        for (Arm *arm : {&trial, &earlier}) {
+            std::fill(arm->routes.begin(), arm->routes.end(), Arm::Cell{});
+            arm->servers.clear();
+        }
+        windowBegan = now;
+    }
+
+    Verdict lastVote = Verdict::none;
+    Span voteSent{};
+
+    void vote() {
+        if (!told || now < voteDue) return;
+        if (votePending && now < voteSent + v.voteAnswerWithin + kVoteRetry) return;
+        if (news.phase == Phase::goingBack || news.phase == Phase::withdrawn) return;
+        if (news.phase == Phase::released && wanted != Verdict::back) return;
+        if (wanted == Verdict::none && standing == Verdict::none) return;
+        out.push_back(Vote{news.build, news.step, wanted});
+        if (lastVote != wanted || standing != wanted) {
+            static constexpr const char *words[] = {"none", "on", "hold", "back"};
+            log("vote " + std::string(words[static_cast<int>(wanted)]) + " build " + std::to_string(news.build) +
+                " step " + std::to_string(news.step) + " " + why);
+        }
+        lastVote = wanted, votePending = true, voteSent = now;
+        voteDue = now + v.voteLife * 6 / 10;
+    }
+
+    void on(const TimerFired &) {
+        timer();
+        while (!recent.empty() && recent.front() <= now - v.overloadFor) recent.pop_front();
+        for (auto &[id, s] : servers)
+            while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor) s.coldSends.pop_front();
+        if (v.listMustBeAsked && now >= askAgainAt) {
+            if (!following) follow();
+            else askAgainAt = now + kWindowSpan;
+        }
+        for (auto it = reqs.begin(); it != reqs.end();) {
+            const auto here = it++;
+            Req &rq = here->second;
+            if (rq.answered) continue;
+            if (!rq.outstanding()) {
+                if (!dispatch(rq)) hold(here);
+            } else if (rq.copyAt != Span{0} && now >= rq.copyAt) {
+                rq.copyAt = Span{0};
+                if (retryBudget >= 1 && mayGoAgain(rq) && dispatch(rq)) retryBudget -= 1;
+            }
+        }
+    }
+};
+
+Policy::Policy() = default;
+Policy::~Policy() = default;
+
+std::vector<Action> Policy::decide(InstanceId who, Span now, const std::vector<Event> &happened) {
+    std::vector<Action> out;
+    for (const auto &event : happened) {
+        if (std::holds_alternative<Stopped>(event)) {
+            records.erase(who);
+            out.clear();
+            continue;
+        }
+        if (const auto *start = std::get_if<Started>(&event)) {
+            records[who] = std::make_unique<Record>(start->values, now);
+            continue;
+        }
+        const auto found = records.find(who);
+        if (found == records.end()) continue;
+        Record &record = *found->second;
+        record.now = now;
+        std::visit([&](const auto &e) { record.on(e); }, event);
+    }
+    const auto found = records.find(who);
+    if (found != records.end()) {
+        found->second->judge();
+        found->second->vote();
+        out.swap(found->second->out);
+        found->second->out.clear();
+    }
+    return out;
+}
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/wire/wire.cpp
@@ -0,0 +1,318 @@
+#include "wire.hpp"
+
+#include <cmath>
+#include <iostream>
+#include <string_view>
+
+namespace deckcart::wire {
+namespace {
+
+using nlohmann::json;
+
+const json &field(const json &from, const char *name) {
+    const auto it = from.find(name);
+    if (it == from.end() || it->is_null()) throw BadBatch(std::string("field ") + name + " is missing");
+    return *it;
+}
+
+template <class T> T as(const json &value, const char *name) {
+    bool fits = false;
+    if constexpr (std::is_same_v<T, bool>) fits = value.is_boolean();
+    else if constexpr (std::is_same_v<T, std::string>) fits = value.is_string();
+    else if constexpr (std::is_unsigned_v<T>) fits = value.is_number_unsigned();
+    else if constexpr (std::is_integral_v<T>) fits = value.is_number_integer();
+    else fits = value.is_number();
+    if (!fits) throw BadBatch(std::string("field ") + name + " has a wrong type");
+    return value.get<T>();
+}
+
+template <class T> T need(const json &from, const char *name) { return as<T>(field(from, name), name); }
+
+template <class T> T may(const json &from, const char *name, T otherwise = {}) {
+    const auto it = from.find(name);
+    return it == from.end() || it->is_null() ? otherwise : as<T>(*it, name);
+}
+
+Span span(double seconds) { return Span{std::llround(seconds * 1e6)}; }
+Span needSpan(const json &from, const char *name) { return span(need<double>(from, name)); }
+Span maySpan(const json &from, const char *name) { return span(may<double>(from, name)); }
+
+const json &part(const json &from, const char *name) {
+    static const json none = json::object();
+    const auto it = from.find(name);
+    if (it == from.end() || it->is_null()) return none;
+    if (!it->is_object()) throw BadBatch(std::string("field ") + name + " is not an object");
+    return *it;
+}
+
+const json &rows(const json &from, const char *name) {
+    static const json none = json::array();
+    const auto it = from.find(name);
+    if (it == from.end() || it->is_null()) return none;
+    if (!it->is_array()) throw BadBatch(std::string("field ") + name + " is not an array");
+    return *it;
+}
+
+std::vector<double> numbers(const json &from, const char *name) {
+    std::vector<double> out;
+    for (const auto &value : rows(from, name)) out.push_back(value.is_null() ? 0 : as<double>(value, name));
+    return out;
+}
+
+template <class T> T word(const json &from, const char *name, std::initializer_list<std::pair<const char *, T>> known) {
+    const auto said = need<std::string>(from, name);
+    for (const auto &[text, value] : known)
+        if (said == text) return value;
+    throw BadBatch(std::string("field ") + name + " holds an unknown word");
+}
+
+Outcome outcome(const json &from) {
+    switch (may<int>(from, "How")) {
+    case 0: return Outcome::ok;
+    case 5: return Outcome::error;
+    case 11: return Outcome::full;
+    case 110: return Outcome::timeout;
+    case 111: return Outcome::connectFailed;
+    case 104: return Outcome::reset;
+    case 125: return Outcome::cancelled;
+    case 114: return Outcome::moot;
+    default: throw BadBatch("field How holds an unknown number");
+    }
+}
+
+StartValues startValues(const json &event) {
+    const json &from = field(event, "Params");
+    const json &family = part(from, "FamilyInfo"), &limits = part(from, "Limits"), &safety = part(from, "Safety");
+    StartValues v;
+    v.seed = need<std::uint64_t>(event, "Seed");
+    v.gateways = may<int>(from, "GroupSize", 1);
+    v.zone = may<int>(from, "Locality");
+    for (const auto &grade : rows(from, "Grades")) {
+        Route route;
+        route.latencyObjective = needSpan(grade, "ObjectiveS");
+        route.effect = word<Effect>(
+            grade, "Effect",
+            {{"free", Effect::retriable}, {"guarded", Effect::deduped}, {"single_shot", Effect::nonRetriable}});
+        if (grade.contains("Group"))
+            route.group = word<Group>(grade, "Group",
+                                      {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
+        route.repeatWindow = maySpan(grade, "WindowS");
+        route.benefit = may<double>(grade, "Worth", 1);
+        route.lateBenefit = may<double>(grade, "LateWorth");
+        v.routes.push_back(route);
+    }
+    for (const auto &realm : rows(from, "Realms")) v.accountShares.push_back(may<double>(realm, "Share"));
+    v.mayCopy = may<bool>(limits, "MayDuplicate");
+    v.mayCancel = may<bool>(limits, "Cancel");
+    v.mayProbe = may<bool>(limits, "Probes");
+    v.mostTries = may<int>(limits, "MostTries", 1);
+    v.longestRetryAfter = maySpan(limits, "MaxRetryAfterS");
+    v.retryAfterTold = may<bool>(limits, "RetryAfter");
+    v.listMustBeAsked = may<std::string>(from, "Discovery") == "subscribe";
+    v.askWithin = maySpan(safety, "AskWithinS");
+    v.crossZoneFee = may<double>(part(from, "Fees"), "CrossZone");
+    v.drainGrace = maySpan(safety, "DrainGraceS");
+    v.coldFrom = may<double>(safety, "ColdFrom", 1);
+    v.warmWithin = maySpan(safety, "WarmWithinS");
+    v.tipMultiple = may<double>(safety, "TipMultiple", 1);
+    v.overloadFor = maySpan(safety, "OverloadForS");
+    if (family.contains("GateMode"))
+        v.gate = word<Gate>(family, "GateMode",
+                            {{"first_voice", Gate::firstVote}, {"by_count", Gate::byCount}, {"automatic", Gate::clock}});
+    v.replacedInPlace = may<std::string>(family, "ReplaceMode") == "replace";
+    v.exposurePerRoute = may<std::string>(family, "Per") == "each_class";
+    v.keysStay = may<bool>(family, "KeysStay");
+    v.guardedStages = may<int>(family, "GuardedStages");
+    v.spareTries = may<double>(family, "SpareTries");
+    v.exposureSpan = maySpan(family, "SpanS");
+    v.exposureCaps = numbers(family, "ExposureCaps");
+    v.stageShares = numbers(family, "Shares");
+    v.voteLife = maySpan(family, "BallotTtlS");
+    v.voteAnswerWithin = maySpan(family, "ApiTimeoutS");
+    v.leastStage = maySpan(family, "LeastStageS");
+    v.reportedWrongShare = may<double>(family, "ComplaintShare");
+    return v;
+}
+
+ServerEntry serverEntry(const json &from) {
+    ServerEntry e;
+    e.id = need<std::string>(from, "Instance");
+    e.zone = may<int>(from, "RackZone");
+    e.cell = may<int>(from, "Pod");
+    e.build = static_cast<BuildNo>(may<double>(from, "Runs"));
+    e.readiness = word<Readiness>(
+        from, "Readiness", {{"live", Readiness::live}, {"quiescing", Readiness::draining}, {"dead", Readiness::gone}});
+    e.weight = may<double>(from, "Scale", 1);
+    const Span started = maySpan(from, "StartedAtS");
+    if (started > Span{0}) e.startedAt = started;
+    return e;
+}
+
+constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+
+std::string fromBase64(const std::string &text) {
+    std::string out;
+    unsigned bits = 0, held = 0;
+    for (const char c : text) {
+        if (c == '=') break;
+        const auto digit = kDigits.find(c);
+        if (digit == std::string_view::npos) throw BadBatch("field Blob is not base64");
+        bits = (bits << 6 | static_cast<unsigned>(digit)) & 0xffffu;
+        held += 6;
+        if (held >= 8) out += static_cast<char>(bits >> (held -= 8) & 0xffu);
+    }
+    return out;
+}
+
+std::string toBase64(const std::string &bytes) {
+    std::string out;
+    for (std::size_t at = 0; at < bytes.size(); at += 3) {
+        unsigned three = 0;
+        for (std::size_t k = 0; k < 3; ++k)
+            three = three << 8 | (at + k < bytes.size() ? static_cast<unsigned char>(bytes[at + k]) : 0u);
+        for (std::size_t k = 0; k < 4; ++k)
+            out += at + k <= bytes.size() ? kDigits[three >> (18 - 6 * k) & 63u] : '=';
+    }
+    return out;
+}
+
+template <class... F> struct Overload : F... {
+    using F::operator()...;
+};
+template <class... F> Overload(F...) -> Overload<F...>;
+
+json seconds(Span s) { return static_cast<double>(s.count()) / 1e6; }
+
+}  // namespace
+
+Batch Reader::read(const std::string &line) {
+    const json root = json::parse(line, nullptr, false);
+    if (root.is_discarded()) throw BadBatch("the line is not JSON");
+    if (!root.is_object()) throw BadBatch("the line is not an object");
+    Batch batch;
+    batch.now = needSpan(root, "TsS");
+    const json &in = field(root, "in");
+    if (!in.is_array()) throw BadBatch("field in is not an array");
+    std::map<InstanceId, std::size_t> places;
+    for (const auto &event : in) {
+        if (!event.is_object()) throw BadBatch("an event is not an object");
+        const auto kind = need<std::string>(event, "m");
+        if (kind == "LIST") {
+            std::vector<ServerEntry> entries;
+            for (const auto &entry : rows(event, "NodesList")) entries.push_back(serverEntry(entry));
+            lists[may<std::int64_t>(event, "Table")] = std::move(entries);
+            continue;
+        }
+        const auto who = may<InstanceId>(event, "Who");
+        const auto [place, added] = places.try_emplace(who, batch.instances.size());
+        if (added) batch.instances.push_back({who, {}});
+        auto &out = batch.instances[place->second].events;
+        const auto req = [&] { return need<ReqId>(event, "Req"); };
+        const auto server = [&] { return need<std::string>(event, "Instance"); };
+        if (kind == "INIT") out.push_back(Started{startValues(event)});
+        else if (kind == "DETACH") out.push_back(Stopped{});
+        else if (kind == "PEERS_KNOWN") {
+            const auto form = need<std::string>(event, "Form");
+            if (form == "FAILED") out.push_back(ListFailed{});
+            else {
+                const auto list = lists.find(may<std::int64_t>(event, "Table"));
+                if (list == lists.end()) throw BadBatch("field Table names no list");
+                out.push_back(ListTold{form != "INCREMENTAL", list->second});
+            }
+        } else if (kind == "CALL") {
+            ReqArrived a{req(), may<std::string>(event, "Affinity"), may<int>(event, "Grade"),
+                         may<int>(event, "Project"), may<bool>(event, "Resent"), {}, needSpan(event, "NotAfterS")};
+            if (event.contains("WorkHintS")) a.workHint = maySpan(event, "WorkHintS");
+            out.push_back(std::move(a));
+        } else if (kind == "FIRST_BYTE") out.push_back(AnswerBegan{req(), may<int>(event, "SendNo")});
+        else if (kind == "FINISHED")
+            out.push_back(TryEnded{req(), may<int>(event, "SendNo"), may<bool>(event, "Last"), outcome(event), server(),
+                                   maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
+        else if (kind == "EXPIRED") out.push_back(ReqGone{req()});
+        else if (kind == "WAKE") out.push_back(TimerFired{may<std::uint64_t>(event, "Handle")});
+        else if (kind == "STATUS_BACK")
+            out.push_back(
+                ProbeEnded{server(), outcome(event), maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
+        else if (kind == "MESSAGE")
+            out.push_back(PeerNote{may<int>(event, "From"), fromBase64(may<std::string>(event, "Blob"))});
+        else if (kind == "PROMOTION") {
+            const int phase = may<int>(event, "Standing");
+            if (phase < 0 || phase > 3) throw BadBatch("field Standing holds an unknown number");
+            out.push_back(StageNews{may<int>(event, "Sense") == 1, outcome(event), may<int>(event, "BuildNo"),
+                                    may<int>(event, "Step"), static_cast<Phase>(phase), may<double>(event, "Cap"),
+                                    maySpan(event, "SinceS")});
+        } else if (kind == "TALLY")
+            out.push_back(TallyTold{may<int>(event, "BuildNo"), may<int>(event, "Grade"), may<int>(event, "Many"),
+                                    may<int>(event, "Lost"), maySpan(event, "ElapsedS"), maySpan(event, "SinceS")});
+        else if (kind == "REPORTED_WRONG")
+            out.push_back(WrongReported{server(), may<int>(event, "Grade"), maySpan(event, "SinceS")});
+        else throw BadBatch("field m holds an unknown event " + kind);
+    }
+    return batch;
+}
+
+json write(InstanceId who, const Action &action) {
+    json out = std::visit(
+        Overload{
+            [](const SendTry &a) {
+                json j{{"m", "ROUTE"}, {"Req", a.req}, {"Instance", a.server}};
+                if (a.limit != Span{0}) j["LimitS"] = seconds(a.limit);
+                return j;
+            },
+            [](const CancelTry &a) { return json{{"m", "CALL_OFF"}, {"Req", a.req}, {"SendNo", a.tryNo}}; },
+            [](const Shed &a) {
+                json j{{"m", "DENY"}, {"Req", a.req}};
+                if (a.retryIn > Span{0}) j["RetryInS"] = seconds(a.retryIn);
+                return j;
+            },
+            [](const EndErrored &a) { return json{{"m", "END_FAILED"}, {"Req", a.req}}; },
+            [](const SetTimer &a) {
+                return json{{"m", "SLEEP"}, {"SleepForS", seconds(a.after)}, {"Handle", a.token}};
+            },
+            [](const Probe &a) { return json{{"m", "INSPECT"}, {"Instance", a.server}}; },
+            [](const CloseIdle &a) { return json{{"m", "DROP_CONNS"}, {"Instance", a.server}}; },
+            [](const TellPeers &a) {
+                json j{{"m", "SIGNAL"}, {"Blob", toBase64(a.bytes)}};
+                j["Peer"] = a.peer ? json(*a.peer) : json(nullptr);
+                return j;
+            },
+            [](const FollowList &a) { return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}}; },
+            [](const FetchList &) { return json{{"m", "RESOLVE"}}; },
+            [](const Vote &a) {
+                return json{
+                    {"m", "OPINION"}, {"BuildNo", a.build}, {"Step", a.step}, {"Sense", static_cast<int>(a.verdict)}};
+            },
+            [](const LogLine &a) { return json{{"m", "SAY_LOG"}, {"Words", a.words}}; },
+        },
+        action);
+    out["Who"] = who;
+    return out;
+}
+
+int serve(std::istream &in, std::ostream &out, std::ostream &err) {
+    Reader reader;
+    Policy policy;
+    std::string line;
+    for (std::size_t number = 1; std::getline(in, line); ++number) {
+        if (line.empty()) continue;
+        Batch batch;
+        try {
+            batch = reader.read(line);
+        } catch (const BadBatch &bad) {
+            err << "deckcart_wirehost: line " << number << ": " << bad.what() << '\n';
+            return 2;
+        }
+        json replies = json::array();
+        for (const auto &[who, events] : batch.instances) {
+            try {
+                for (const auto &action : policy.decide(who, batch.now, events)) replies.push_back(write(who, action));
+            } catch (const std::exception &failure) {
+                replies.push_back({{"m", "EXCEPTION"}, {"Who", who}, {"Words", failure.what()}});
+            }
+        }
+        out << json{{"cmds", std::move(replies)}}.dump() << '\n' << std::flush;
+    }
+    return 0;
+}
+
+}  // namespace deckcart::wire
--- /dev/null
+++ b/src/wirehost/main.cpp
@@ -0,0 +1,10 @@
+// The host of the simulator's wire: batches on standard input, replies on standard output.
+#include <iostream>
+
+#include "../wire/wire.hpp"
+
+int main() {
+    std::ios::sync_with_stdio(false);
+    std::cin.tie(nullptr);
+    return deckcart::wire::serve(std::cin, std::cout, std::cerr);
+}
