Call off tries on silent servers only; shed by expected latency; cold budget by answers

Cause: time-outs at a fixed part of the latency objective cut healthy tries and put healthy servers aside.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -40,6 +40,11 @@
 constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
 constexpr double kLatencyFade = 4;     // seconds until an unused server's figure has mostly faded to the usual
 constexpr int kEjectAfter = 2;         // unanswered tries in a row that put a server aside
+constexpr double kMostAside = 0.4;     // part of a build's servers put aside at most: beyond it is no machine's trouble
+constexpr double kSilent = 4;          // times the usual latency, fleet's slowness included, that tell of silence
+constexpr double kShedFrom = 0.5;      // expected latency over the objective from which reqs are shed, evenly up
+constexpr double kShedSpan = 0.5;      // over this much more; half a mean's head-room keeps most answers in time
+constexpr double kOverShare = 1.25;    // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;       // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
 constexpr int kPairsBack = 4;          // failed on trial, then done on the other build: that many cast 'back'
@@ -63,10 +68,12 @@
     std::set<std::pair<Span, ReqId>> out;  // tries under way, oldest first
     double slowness = 1;                   // latency over the route's usual one, decaying
     Span slownessAt{};
+    Span answeredAt{};   // the latest answer of any kind
     int unanswered = 0;  // tries in a row without an answer
     Span asideUntil{};
     Span asideFor{};
     std::deque<Span> coldSends;
+    double coldStart = 0;  // what may be sent before any capacity has built up: a part of one req
 
     bool listed() const { return entry.readiness == Readiness::live; }
     Span age(Span now) const { return entry.startedAt ? now - *entry.startedAt : Span{1h}; }
@@ -79,6 +86,7 @@
     Span sent;
     bool cold;
     bool out = true;
+    bool calledOff = false;  // given up on, or copied, for the server's silence
     Outcome how = Outcome::ok;
 
     bool mayHaveRun() const { return out || !provesNotRun(how); }
@@ -88,7 +96,6 @@
     ReqArrived in;
     Span arrived;
     std::vector<Try> tries;
-    Span copyAt{};  // when a second copy is due; zero: none
     bool answered = false;
 
     bool outstanding() const {
@@ -156,6 +163,10 @@
     std::map<BuildNo, std::vector<std::deque<Span>>> trials;  // tries at a build by route, likewise
     std::vector<double> usual;                                // by route: usual seconds of an answer
     std::vector<int> usualSeen;
+    std::deque<Span> done;                                    // answers of warm servers within the overload span
+    double perServer = 0;                                     // of these, what one warm server has given
+    double fleet = 1;                                         // median slowness of the warm servers
+    std::deque<std::pair<Span, int>> recent;                  // accepted reqs and their accounts, likewise
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
 
@@ -193,6 +204,8 @@
     const Route &route(const Req &rq) const { return v.routes.at(static_cast<std::size_t>(rq.in.route)); }
     void log(const std::string &words) { out.push_back(LogLine{words}); }
     void timer() { out.push_back(SetTimer{kTick, 0}); }
+    double usualOf(const Req &rq) const { return usual[static_cast<std::size_t>(rq.in.route)]; }
+    double chance() { return static_cast<double>(rng()) / 4294967296.0; }
     std::size_t any(std::size_t n) { return static_cast<std::size_t>(rng() % n); }
 
     // The part of its capacity that a server has by now, on the slowest path the settings allow.
@@ -208,8 +221,7 @@
         if (!s.out.empty()) {
             const auto rq = reqs.find(s.out.begin()->second);
             if (rq != reqs.end())
-                figure = std::max(figure, 0.5 * secs(now - s.out.begin()->first) /
-                                              usual[static_cast<std::size_t>(rq->second.in.route)]);
+                figure = std::max(figure, 0.5 * secs(now - s.out.begin()->first) / usualOf(rq->second));
         }
         return figure;
     }
@@ -282,27 +294,20 @@
                v.spareTries + share * static_cast<double>(taken[c].size());
     }
 
-    // Guards a cold server against all gateways together: each gives it no more, over the stated span, than a
-    // part of the tip multiple times its warmth times what a warm server would get of this gateway's reqs. If
-    // every gateway does so the sum is under the multiple unless the fleet itself is far overloaded. Could
-    // harm where a gateway's own share of a small stage is larger than that: the reqs go to the other build.
+    // Guards a cold server against all gateways together: over the stated span, and no longer than it has run,
+    // each gives it at most a part of the tip multiple, times its warmth, times what this gateway has had done
+    // by a warm server. Answers count, not arrivals, so a burst or a jam does not raise it. The first req is
+    // left to chance, so that many small gateways do not all send theirs at once. Covers new builds, restarts
+    // and machines back from a crash. Could harm where a small stage is told more: the other build gets it.
     bool withinColdBudget(const Server &s) const {
-        if (s.age(now) >= v.warmWithin + kWindowSpan) return true;
+        const Span age = s.age(now);
+        if (age >= v.warmWithin + kWindowSpan) return true;
         const auto from = std::find_if(s.coldSends.begin(), s.coldSends.end(),
                                        [&](Span at) { return at > now - v.overloadFor; });
         const double sent = static_cast<double>(s.coldSends.end() - from);
-        return sent + 1 <= std::max(1.0, v.tipMultiple * kColdMargin * warmth(s) * perServer());
-    }
-    // What an average place gets of this gateway's reqs within the overload span.
-    double perServer() const {
-        std::size_t n = 0, places = 0;
-        for (const auto &t : recent) n += t > now - v.overloadFor;
-        for (const auto &[id, s] : servers) places += s.listed() && !onTrial(s.entry.build);
-        if (places == 0)
-            for (const auto &[id, s] : servers) places += s.listed();
-        return static_cast<double>(n) / static_cast<double>(std::max<std::size_t>(places, 1));
+        const double run = secs(std::clamp(age, Span{0}, v.overloadFor)) / secs(v.overloadFor);
+        return sent + 1 <= s.coldStart + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
     }
-    std::deque<Span> recent;  // accepted reqs within the overload span
 
     // ---- sending ----
     bool aside(const Server &s) const { return now < s.asideUntil; }
@@ -359,33 +364,37 @@
         for (const bool desperate : {false, true})
             for (const BuildNo build : order)
                 if (Server *s = pick(rq, build, desperate)) {
-                    send(rq, *s);
+                    if (rq.tries.empty() && tooLate(rq, *s)) giveUp(rq);
+                    else send(rq, *s);
                     return true;
                 }
         return false;
     }
 
+    // Sheds while the fleet is too slow for an answer in time, ever more the slower it is, so that what is
+    // taken is answered. An account's excess over its share goes first. Covers surges, overload, lost machines
+    // and shared slowdowns. Could harm if the usual latencies were learned in a jam: they fade with new ones.
+    bool tooLate(const Req &rq, const Server &s) {
+        const double expected = usualOf(rq) * slowness(s) / secs(route(rq).latencyObjective);
+        const double from = overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom;
+        return expected > from && chance() < (expected - from) / kShedSpan;
+    }
+    bool overShare(int account) const {
+        if (account < 0 || account >= static_cast<int>(v.accountShares.size()) || recent.empty()) return false;
+        const auto n = std::count_if(recent.begin(), recent.end(), [&](const auto &a) { return a.second == account; });
+        return static_cast<double>(n) > kOverShare * v.accountShares[static_cast<std::size_t>(account)] *
+                                            static_cast<double>(recent.size());
+    }
+
     void send(Req &rq, Server &s) {
         if (!passes(rq, s)) return;
-        const Route &rt = route(rq);
-        const double usualS = usual[static_cast<std::size_t>(rq.in.route)];
-        const Span wantedBy = rq.arrived + rt.latencyObjective;
-        // A first try is cut (or copied) while another can still answer within the latency objective.
-        const Span patience = std::clamp(span(4 * usualS), rt.latencyObjective * 35 / 100, rt.latencyObjective * 6 / 10);
-        const bool again = rt.effect != Effect::nonRetriable &&
-                           static_cast<int>(rq.tries.size()) + 1 < v.mostTries && now + patience < wantedBy;
-        Span limit{0};
-        rq.copyAt = Span{0};
-        if (again && v.mayCopy && rq.tries.empty()) rq.copyAt = now + patience;
-        else if (again && !v.mayCopy && retryBudget >= 1) limit = patience;
-        if (now + limit >= rq.in.notAfter) limit = Span{0};
         rq.tries.push_back(
             {&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
         if (s.age(now) < v.warmWithin + kWindowSpan) s.coldSends.push_back(now);
         if (onTrial(s.entry.build))
             trials.try_emplace(s.entry.build, routesCounted()).first->second[counted(rq.in.route)].push_back(now);
-        out.push_back(SendTry{rq.in.req, s.entry.id, limit});
+        out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
 
     // The final answer of a req that is given up: shed where that is true, errored else.
@@ -428,6 +437,7 @@
             if (s.entry.startedAt != e.startedAt || s.entry.build != e.build) {
                 s.slowness = 1, s.unanswered = 0, s.asideUntil = s.asideFor = Span{0};
                 s.coldSends.clear();
+                s.coldStart = chance() * std::min(1.0, 3.0 / v.gateways);
             }
             s.entry = e;
         }
@@ -437,16 +447,18 @@
     void on(const ReqArrived &in) {
         auto &rq = reqs.try_emplace(in.req, Req{in, now, {}}).first->second;
         taken[counted(in.route)].push_back(now);
-        recent.push_back(now);
+        recent.push_back({now, in.account});
         retryBudget = std::min(kRetryBurst, retryBudget + kRetryRate);
-        if (!dispatch(rq)) hold(reqs.find(in.req));
+        const auto it = reqs.find(in.req);
+        if (!dispatch(rq)) hold(it);
+        else if (rq.answered) drop(it);
     }
 
     // A req that can go nowhere waits while an answer in time can still be had, and no longer.
     void hold(std::map<ReqId, Req>::iterator it) {
         Req &rq = it->second;
-        const double usualS = usual[static_cast<std::size_t>(rq.in.route)];
-        const Span latest = std::min(rq.arrived + route(rq).latencyObjective - span(usualS), rq.in.notAfter - 2 * kTick);
+        const Span latest =
+            std::min(rq.arrived + route(rq).latencyObjective - span(usualOf(rq)), rq.in.notAfter - 2 * kTick);
         if (now < latest && static_cast<int>(rq.tries.size()) < v.mostTries && mayGoAgain(rq)) return;
         giveUp(rq);
         drop(it);
@@ -484,8 +496,7 @@
         }
         if (rq.answered) return drop(it);
         if (rq.outstanding()) return;
-        const bool late = now + span(0.5 * usual[static_cast<std::size_t>(rq.in.route)]) >=
-                          rq.arrived + route(rq).latencyObjective;
+        const bool late = now + span(0.5 * usualOf(rq)) >= rq.arrived + route(rq).latencyObjective;
         if (!late && mayGoAgain(rq) && retryBudget >= 1) {
             retryBudget -= 1;
             if (dispatch(rq)) return;
@@ -495,6 +506,19 @@
         drop(it);
     }
 
+    // A server is silent on a try when nothing has come from it since, for several times the usual latency.
+    bool silent(const Server &s, const Try &t) const { return s.answeredAt < t.sent; }
+    void unanswered(Server &s) {
+        if (++s.unanswered < kEjectAfter || aside(s)) return;
+        double gone = 1, all = 0;
+        for (const auto &[id, other] : servers)
+            if (other.listed() && other.entry.build == s.entry.build) ++all, gone += aside(other);
+        if (gone > std::max(1.0, kMostAside * all)) return;
+        if (s.asideFor == Span{0}) log("aside " + s.entry.id + " unanswered");
+        s.asideFor = std::clamp(s.asideFor * 2, kEjectFirst, kEjectMost);
+        s.asideUntil = now + s.asideFor;
+    }
+
     // Reads how a try ended: the server's health and latency, the usual times, the evidence on the builds.
     void settle(Req &rq, const Try &t, const TryEnded &end) {
         Server &s = *t.server;
@@ -514,14 +538,10 @@
                 BuildNo &stay = stays[rq.in.key];
                 stay = std::max(stay, t.build);
             }
-        } else if (end.how == Outcome::error) s.unanswered = 0;
-        else if (end.how == Outcome::timeout || end.how == Outcome::reset || end.how == Outcome::connectFailed) {
-            if (++s.unanswered >= kEjectAfter) {
-                s.asideFor = std::clamp(s.asideFor * 2, kEjectFirst, kEjectMost);
-                s.asideUntil = now + s.asideFor;
-                if (s.asideFor == kEjectFirst) log("aside " + s.entry.id + " unanswered");
-            }
-        }
+            if (!t.cold) done.push_back(now);
+        } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
+        else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t)) unanswered(s);
+        if (end.how == Outcome::ok || end.how == Outcome::error || end.how == Outcome::full) s.answeredAt = now;
         evidence(rq, t, end, took / usual[r]);
     }
 
@@ -705,7 +725,13 @@
 
     void on(const TimerFired &) {
         timer();
-        while (!recent.empty() && recent.front() <= now - v.overloadFor) recent.pop_front();
+        while (!recent.empty() && recent.front().first <= now - v.overloadFor) recent.pop_front();
+        while (!done.empty() && done.front() <= now - v.overloadFor) done.pop_front();
+        std::vector<double> slow;
+        for (auto &[id, s] : servers)
+            if (s.listed() && s.age(now) >= kColdEvidence && !aside(s)) slow.push_back(slowness(s));
+        perServer = static_cast<double>(done.size()) / static_cast<double>(std::max<std::size_t>(slow.size(), 1));
+        fleet = std::max(1.0, quantile(slow, 0.5));
         for (auto &[id, s] : servers)
             while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor) s.coldSends.pop_front();
         if (v.listMustBeAsked && now >= askAgainAt) {
@@ -718,12 +744,26 @@
             if (rq.answered) continue;
             if (!rq.outstanding()) {
                 if (!dispatch(rq)) hold(here);
-            } else if (rq.copyAt != Span{0} && now >= rq.copyAt) {
-                rq.copyAt = Span{0};
-                if (retryBudget >= 1 && mayGoAgain(rq) && dispatch(rq)) retryBudget -= 1;
-            }
+                else if (rq.answered) drop(here);
+            } else watch(rq);
         }
     }
+
+    // A try on a server that has been silent since is copied or called off, so that the req can go elsewhere.
+    // Covers hung and dying machines and cut links. Could harm on a server that works on one long req: its
+    // work is thrown away, so the wait is several times the usual at the fleet's present slowness.
+    void watch(Req &rq) {
+        const int last = static_cast<int>(rq.tries.size()) - 1;
+        Try &t = rq.tries.back();
+        if (!t.out || t.calledOff || !silent(*t.server, t) || now - t.sent < span(kSilent * fleet * usualOf(rq))) return;
+        if (last + 1 >= v.mostTries || !mayGoAgain(rq) || retryBudget < 1) return;
+        if (now + span(usualOf(rq)) >= rq.arrived + route(rq).latencyObjective) return;
+        t.calledOff = true;
+        if (v.mayCopy) {
+            unanswered(*t.server);
+            if (dispatch(rq)) retryBudget -= 1;
+        } else if (v.mayCancel) out.push_back(CancelTry{rq.in.req, last});
+    }
 };
 
 Policy::Policy() = default;
