--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -200,8 +200,8 @@
 struct LogLine {
     std::string words;
 };
-using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, TellPeers, FollowList,
-                            FetchList, Vote, LogLine>;
+using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, TellPeers,
+                            FollowList, FetchList, Vote, LogLine>;
 
 // The records of the instances that one process hosts. They share nothing.
 class Policy {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -38,18 +38,19 @@
 constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
 constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
 constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
-constexpr double kLatencyFade = 4;     // seconds until an unused server's figure has mostly faded to the usual
-constexpr int kEjectAfter = 2;         // unanswered tries in a row that put a server aside
-constexpr double kMostAside = 0.4;     // part of a build's servers put aside at most: beyond it is no machine's trouble
-constexpr double kSilent = 4;          // times the usual latency, fleet's slowness included, that tell of silence
-constexpr double kShedFrom = 0.5;      // expected latency over the objective from which reqs are shed, evenly up
-constexpr double kShedSpan = 0.5;      // over this much more; half a mean's head-room keeps most answers in time
-constexpr double kOverShare = 1.25;    // times its share of our reqs that make an account's excess
-constexpr Span kEjectFirst = 1s;       // first time aside; doubles to kEjectMost
+constexpr double kLatencyFade = 4;  // seconds until an unused server's figure has mostly faded to the usual
+constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
+constexpr double kMostAside =
+    0.4;  // part of a build's servers put aside at most: beyond it is no machine's trouble
+constexpr double kSilent = 4;      // times the usual latency, fleet's slowness included, that tell of silence
+constexpr double kShedFrom = 0.5;  // expected latency over the objective from which reqs are shed, evenly up
+constexpr double kShedSpan = 0.5;  // over this much more; half a mean's head-room keeps most answers in time
+constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
+constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
-constexpr int kPairsBack = 4;          // failed on trial, then done on the other build: that many cast 'back'
-constexpr int kWrongBack = 2;          // reports of wrong answers that cast 'back' (one may be false)
-constexpr Span kVoteRetry = 250ms;     // pause after a vote that was turned away
+constexpr int kPairsBack = 4;       // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kWrongBack = 2;       // reports of wrong answers that cast 'back' (one may be false)
+constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
 Span span(double seconds) { return Span{std::llround(seconds * 1e6)}; }
@@ -113,18 +114,20 @@
         double n = 0, fails = 0;
     };
     std::vector<Cell> routes;
-    std::deque<double> slowness;                        // of completed tries, over the route's usual latency
+    std::deque<double> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
     explicit Arm(std::size_t n) : routes(n) {}
     double count() const {
         double n = 0;
-        for (const auto &c : routes) n += c.n;
+        for (const auto &c : routes)
+            n += c.n;
         return n;
     }
     double fails() const {
         double n = 0;
-        for (const auto &c : routes) n += c.fails;
+        for (const auto &c : routes)
+            n += c.fails;
         return n;
     }
     void add(int route, bool failed) { routes[route].n += 1, routes[route].fails += failed; }
@@ -132,7 +135,8 @@
 
 double quantile(std::vector<double> values, double q) {
     if (values.empty()) return 0;
-    const auto at = std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+    const auto at =
+        std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
     std::nth_element(values.begin(), values.begin() + at, values.end());
     return values[at];
 }
@@ -140,7 +144,8 @@
 // The same for every gateway, whatever the standard library hashes with.
 double place01(const std::string &text, std::uint64_t salt) {
     std::uint64_t h = 0xcbf29ce484222325u ^ (salt * 0x9e3779b97f4a7c15u);
-    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+    for (const char c : text)
+        h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
     h ^= h >> 31, h *= 0xbf58476d1ce4e5b9u, h ^= h >> 29;
     return static_cast<double>(h >> 11) / 9007199254740992.0;
 }
@@ -159,14 +164,14 @@
     Span askAgainAt{};
 
     std::map<ReqId, Req> reqs;
-    std::vector<std::deque<Span>> taken;                      // accepted reqs by route, within the exposure span
+    std::vector<std::deque<Span>> taken;  // accepted reqs by route, within the exposure span
     std::map<BuildNo, std::vector<std::deque<Span>>> trials;  // tries at a build by route, likewise
     std::vector<double> usual;                                // by route: usual seconds of an answer
     std::vector<int> usualSeen;
-    std::deque<Span> done;                                    // answers of warm servers within the overload span
-    double perServer = 0;                                     // of these, what one warm server has given
-    double fleet = 1;                                         // median slowness of the warm servers
-    std::deque<std::pair<Span, int>> recent;                  // accepted reqs and their accounts, likewise
+    std::deque<Span> done;                    // answers of warm servers within the overload span
+    double perServer = 0;                     // of these, what one warm server has given
+    double fleet = 1;                         // median slowness of the warm servers
+    std::deque<std::pair<Span, int>> recent;  // accepted reqs and their accounts, likewise
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
 
@@ -193,7 +198,8 @@
         : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
           taken(routesCounted()), usual(v.routes.size()), usualSeen(v.routes.size()), trial(v.routes.size()),
           earlier(v.routes.size()), lastEarlier(v.routes.size()), windowBegan(at) {
-        for (std::size_t r = 0; r < usual.size(); ++r) usual[r] = secs(v.routes[r].latencyObjective) / 4;
+        for (std::size_t r = 0; r < usual.size(); ++r)
+            usual[r] = secs(v.routes[r].latencyObjective) / 4;
         if (v.listMustBeAsked) follow();
         timer();
     }
@@ -288,17 +294,20 @@
         if (share <= 0) return false;
         const std::size_t c = counted(route);
         auto &tries = trials.try_emplace(build, routesCounted()).first->second[c];
-        while (!tries.empty() && tries.front() < now - v.exposureSpan - kTick) tries.pop_front();
-        while (!taken[c].empty() && taken[c].front() <= now - v.exposureSpan + kTick) taken[c].pop_front();
+        while (!tries.empty() && tries.front() < now - v.exposureSpan - kTick)
+            tries.pop_front();
+        while (!taken[c].empty() && taken[c].front() <= now - v.exposureSpan + kTick)
+            taken[c].pop_front();
         return static_cast<double>(tries.size()) + 1 <=
                v.spareTries + share * static_cast<double>(taken[c].size());
     }
 
-    // Guards a cold server against all gateways together: over the stated span, and no longer than it has run,
-    // each gives it at most a part of the tip multiple, times its warmth, times what this gateway has had done
-    // by a warm server. Answers count, not arrivals, so a burst or a jam does not raise it. The first req is
-    // left to chance, so that many small gateways do not all send theirs at once. Covers new builds, restarts
-    // and machines back from a crash. Could harm where a small stage is told more: the other build gets it.
+    // Guards a cold server against all gateways together: over the stated span, and no longer than it has
+    // run, each gives it at most a part of the tip multiple, times its warmth, times what this gateway has
+    // had done by a warm server. Answers count, not arrivals, so a burst or a jam does not raise it. The
+    // first req is left to chance, so that many small gateways do not all send theirs at once. Covers new
+    // builds, restarts and machines back from a crash. Could harm where a small stage is told more: the other
+    // build gets it.
     bool withinColdBudget(const Server &s) const {
         const Span age = s.age(now);
         if (age >= v.warmWithin + kWindowSpan) return true;
@@ -372,28 +381,32 @@
     }
 
     // Sheds while the fleet is too slow for an answer in time, ever more the slower it is, so that what is
-    // taken is answered. An account's excess over its share goes first. Covers surges, overload, lost machines
-    // and shared slowdowns. Could harm if the usual latencies were learned in a jam: they fade with new ones.
+    // taken is answered. An account's excess over its share goes first. Covers surges, overload, lost
+    // machines and shared slowdowns. Could harm if the usual latencies were learned in a jam: they fade with
+    // new ones.
     bool tooLate(const Req &rq, const Server &s) {
         const double expected = usualOf(rq) * slowness(s) / secs(route(rq).latencyObjective);
         const double from = overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom;
         return expected > from && chance() < (expected - from) / kShedSpan;
     }
     bool overShare(int account) const {
-        if (account < 0 || account >= static_cast<int>(v.accountShares.size()) || recent.empty()) return false;
-        const auto n = std::count_if(recent.begin(), recent.end(), [&](const auto &a) { return a.second == account; });
+        if (account < 0 || account >= static_cast<int>(v.accountShares.size()) || recent.empty())
+            return false;
+        const auto n =
+            std::count_if(recent.begin(), recent.end(), [&](const auto &a) { return a.second == account; });
         return static_cast<double>(n) > kOverShare * v.accountShares[static_cast<std::size_t>(account)] *
                                             static_cast<double>(recent.size());
     }
 
     void send(Req &rq, Server &s) {
         if (!passes(rq, s)) return;
-        rq.tries.push_back(
-            {&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
+        rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
         if (s.age(now) < v.warmWithin + kWindowSpan) s.coldSends.push_back(now);
         if (onTrial(s.entry.build))
-            trials.try_emplace(s.entry.build, routesCounted()).first->second[counted(rq.in.route)].push_back(now);
+            trials.try_emplace(s.entry.build, routesCounted())
+                .first->second[counted(rq.in.route)]
+                .push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
 
@@ -403,12 +416,14 @@
         rq.answered = true;
         const Route &rt = route(rq);
         const bool ran = rq.firstThatMayHaveRun() != nullptr;
-        const bool mayShed =
-            rt.effect == Effect::retriable || !ran || (rt.effect == Effect::deduped && rt.group == Group::all);
+        const bool mayShed = rt.effect == Effect::retriable || !ran ||
+                             (rt.effect == Effect::deduped && rt.group == Group::all);
         if (v.mayCancel)
             for (std::size_t k = 0; k < rq.tries.size(); ++k)
                 if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, static_cast<int>(k)});
-        if (mayShed) out.push_back(Shed{rq.in.req, v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0}});
+        if (mayShed)
+            out.push_back(
+                Shed{rq.in.req, v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0}});
         else out.push_back(EndErrored{rq.in.req});
     }
     void drop(std::map<ReqId, Req>::iterator it) {
@@ -430,7 +445,8 @@
     void on(const ListTold &list) {
         if (list.complete)
             for (auto &[id, s] : servers)
-                if (std::none_of(list.entries.begin(), list.entries.end(), [&](const auto &e) { return e.id == id; }))
+                if (std::none_of(list.entries.begin(), list.entries.end(),
+                                 [&](const auto &e) { return e.id == id; }))
                     s.entry.readiness = Readiness::gone;
         for (const auto &e : list.entries) {
             Server &s = servers[e.id];
@@ -540,8 +556,10 @@
             }
             if (!t.cold) done.push_back(now);
         } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
-        else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t)) unanswered(s);
-        if (end.how == Outcome::ok || end.how == Outcome::error || end.how == Outcome::full) s.answeredAt = now;
+        else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t))
+            unanswered(s);
+        if (end.how == Outcome::ok || end.how == Outcome::error || end.how == Outcome::full)
+            s.answeredAt = now;
         evidence(rq, t, end, took / usual[r]);
     }
 
@@ -662,7 +680,8 @@
         if (wrong >= kWrongBack) return convict("wrong answers");
         if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
         const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
-        if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast && base.count() >= kWindowLeast) {
+        if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast &&
+            base.count() >= kWindowLeast) {
             const double failT = trial.fails() / trial.count(), failE = expected(trial, base);
             bool sick = failT > failE + kFailMargin && failT > kFailRatio * failE;
             const char *reason = "failures";
@@ -682,8 +701,9 @@
         }
         if (news.phase != Phase::onTrial) return;
         if (v.gate == Gate::clock) {
-            const Verdict w = unhealthy > 0 ? Verdict::hold
-                              : healthy > 0 && wanted == Verdict::hold ? Verdict::none : wanted;
+            const Verdict w = unhealthy > 0                            ? Verdict::hold
+                              : healthy > 0 && wanted == Verdict::hold ? Verdict::none
+                                                                       : wanted;
             if (w != wanted) wanted = w, voteDue = now;
             return;
         }
@@ -716,8 +736,8 @@
         out.push_back(Vote{news.build, news.step, wanted});
         if (lastVote != wanted || standing != wanted) {
             static constexpr const char *words[] = {"none", "on", "hold", "back"};
-            log("vote " + std::string(words[static_cast<int>(wanted)]) + " build " + std::to_string(news.build) +
-                " step " + std::to_string(news.step) + " " + why);
+            log("vote " + std::string(words[static_cast<int>(wanted)]) + " build " +
+                std::to_string(news.build) + " step " + std::to_string(news.step) + " " + why);
         }
         lastVote = wanted, votePending = true, voteSent = now;
         voteDue = now + v.voteLife * 6 / 10;
@@ -725,15 +745,19 @@
 
     void on(const TimerFired &) {
         timer();
-        while (!recent.empty() && recent.front().first <= now - v.overloadFor) recent.pop_front();
-        while (!done.empty() && done.front() <= now - v.overloadFor) done.pop_front();
+        while (!recent.empty() && recent.front().first <= now - v.overloadFor)
+            recent.pop_front();
+        while (!done.empty() && done.front() <= now - v.overloadFor)
+            done.pop_front();
         std::vector<double> slow;
         for (auto &[id, s] : servers)
             if (s.listed() && s.age(now) >= kColdEvidence && !aside(s)) slow.push_back(slowness(s));
-        perServer = static_cast<double>(done.size()) / static_cast<double>(std::max<std::size_t>(slow.size(), 1));
+        perServer =
+            static_cast<double>(done.size()) / static_cast<double>(std::max<std::size_t>(slow.size(), 1));
         fleet = std::max(1.0, quantile(slow, 0.5));
         for (auto &[id, s] : servers)
-            while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor) s.coldSends.pop_front();
+            while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor)
+                s.coldSends.pop_front();
         if (v.listMustBeAsked && now >= askAgainAt) {
             if (!following) follow();
             else askAgainAt = now + kWindowSpan;
@@ -755,7 +779,9 @@
     void watch(Req &rq) {
         const int last = static_cast<int>(rq.tries.size()) - 1;
         Try &t = rq.tries.back();
-        if (!t.out || t.calledOff || !silent(*t.server, t) || now - t.sent < span(kSilent * fleet * usualOf(rq))) return;
+        if (!t.out || t.calledOff || !silent(*t.server, t) ||
+            now - t.sent < span(kSilent * fleet * usualOf(rq)))
+            return;
         if (last + 1 >= v.mostTries || !mayGoAgain(rq) || retryBudget < 1) return;
         if (now + span(usualOf(rq)) >= rq.arrived + route(rq).latencyObjective) return;
         t.calledOff = true;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -55,11 +55,13 @@
 
 std::vector<double> numbers(const json &from, const char *name) {
     std::vector<double> out;
-    for (const auto &value : rows(from, name)) out.push_back(value.is_null() ? 0 : as<double>(value, name));
+    for (const auto &value : rows(from, name))
+        out.push_back(value.is_null() ? 0 : as<double>(value, name));
     return out;
 }
 
-template <class T> T word(const json &from, const char *name, std::initializer_list<std::pair<const char *, T>> known) {
+template <class T>
+T word(const json &from, const char *name, std::initializer_list<std::pair<const char *, T>> known) {
     const auto said = need<std::string>(from, name);
     for (const auto &[text, value] : known)
         if (said == text) return value;
@@ -82,7 +84,8 @@
 
 StartValues startValues(const json &event) {
     const json &from = field(event, "Params");
-    const json &family = part(from, "FamilyInfo"), &limits = part(from, "Limits"), &safety = part(from, "Safety");
+    const json &family = part(from, "FamilyInfo"), &limits = part(from, "Limits"),
+               &safety = part(from, "Safety");
     StartValues v;
     v.seed = need<std::uint64_t>(event, "Seed");
     v.gateways = may<int>(from, "GroupSize", 1);
@@ -90,9 +93,10 @@
     for (const auto &grade : rows(from, "Grades")) {
         Route route;
         route.latencyObjective = needSpan(grade, "ObjectiveS");
-        route.effect = word<Effect>(
-            grade, "Effect",
-            {{"free", Effect::retriable}, {"guarded", Effect::deduped}, {"single_shot", Effect::nonRetriable}});
+        route.effect = word<Effect>(grade, "Effect",
+                                    {{"free", Effect::retriable},
+                                     {"guarded", Effect::deduped},
+                                     {"single_shot", Effect::nonRetriable}});
         if (grade.contains("Group"))
             route.group = word<Group>(grade, "Group",
                                       {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
@@ -101,7 +105,8 @@
         route.lateBenefit = may<double>(grade, "LateWorth");
         v.routes.push_back(route);
     }
-    for (const auto &realm : rows(from, "Realms")) v.accountShares.push_back(may<double>(realm, "Share"));
+    for (const auto &realm : rows(from, "Realms"))
+        v.accountShares.push_back(may<double>(realm, "Share"));
     v.mayCopy = may<bool>(limits, "MayDuplicate");
     v.mayCancel = may<bool>(limits, "Cancel");
     v.mayProbe = may<bool>(limits, "Probes");
@@ -117,8 +122,9 @@
     v.tipMultiple = may<double>(safety, "TipMultiple", 1);
     v.overloadFor = maySpan(safety, "OverloadForS");
     if (family.contains("GateMode"))
-        v.gate = word<Gate>(family, "GateMode",
-                            {{"first_voice", Gate::firstVote}, {"by_count", Gate::byCount}, {"automatic", Gate::clock}});
+        v.gate = word<Gate>(
+            family, "GateMode",
+            {{"first_voice", Gate::firstVote}, {"by_count", Gate::byCount}, {"automatic", Gate::clock}});
     v.replacedInPlace = may<std::string>(family, "ReplaceMode") == "replace";
     v.exposurePerRoute = may<std::string>(family, "Per") == "each_class";
     v.keysStay = may<bool>(family, "KeysStay");
@@ -141,7 +147,8 @@
     e.cell = may<int>(from, "Pod");
     e.build = static_cast<BuildNo>(may<double>(from, "Runs"));
     e.readiness = word<Readiness>(
-        from, "Readiness", {{"live", Readiness::live}, {"quiescing", Readiness::draining}, {"dead", Readiness::gone}});
+        from, "Readiness",
+        {{"live", Readiness::live}, {"quiescing", Readiness::draining}, {"dead", Readiness::gone}});
     e.weight = may<double>(from, "Scale", 1);
     const Span started = maySpan(from, "StartedAtS");
     if (started > Span{0}) e.startedAt = started;
@@ -176,9 +183,7 @@
     return out;
 }
 
-template <class... F> struct Overload : F... {
-    using F::operator()...;
-};
+template <class... F> struct Overload : F... { using F::operator()...; };
 template <class... F> Overload(F...) -> Overload<F...>;
 
 json seconds(Span s) { return static_cast<double>(s.count()) / 1e6; }
@@ -199,7 +204,8 @@
         const auto kind = need<std::string>(event, "m");
         if (kind == "LIST") {
             std::vector<ServerEntry> entries;
-            for (const auto &entry : rows(event, "NodesList")) entries.push_back(serverEntry(entry));
+            for (const auto &entry : rows(event, "NodesList"))
+                entries.push_back(serverEntry(entry));
             lists[may<std::int64_t>(event, "Table")] = std::move(entries);
             continue;
         }
@@ -220,30 +226,36 @@
                 out.push_back(ListTold{form != "INCREMENTAL", list->second});
             }
         } else if (kind == "CALL") {
-            ReqArrived a{req(), may<std::string>(event, "Affinity"), may<int>(event, "Grade"),
-                         may<int>(event, "Project"), may<bool>(event, "Resent"), {}, needSpan(event, "NotAfterS")};
+            ReqArrived a{req(),
+                         may<std::string>(event, "Affinity"),
+                         may<int>(event, "Grade"),
+                         may<int>(event, "Project"),
+                         may<bool>(event, "Resent"),
+                         {},
+                         needSpan(event, "NotAfterS")};
             if (event.contains("WorkHintS")) a.workHint = maySpan(event, "WorkHintS");
             out.push_back(std::move(a));
         } else if (kind == "FIRST_BYTE") out.push_back(AnswerBegan{req(), may<int>(event, "SendNo")});
         else if (kind == "FINISHED")
-            out.push_back(TryEnded{req(), may<int>(event, "SendNo"), may<bool>(event, "Last"), outcome(event), server(),
-                                   maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
+            out.push_back(TryEnded{req(), may<int>(event, "SendNo"), may<bool>(event, "Last"), outcome(event),
+                                   server(), maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
         else if (kind == "EXPIRED") out.push_back(ReqGone{req()});
         else if (kind == "WAKE") out.push_back(TimerFired{may<std::uint64_t>(event, "Handle")});
         else if (kind == "STATUS_BACK")
-            out.push_back(
-                ProbeEnded{server(), outcome(event), maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
+            out.push_back(ProbeEnded{server(), outcome(event), maySpan(event, "ElapsedS"),
+                                     numbers(event, "Telemetry")});
         else if (kind == "MESSAGE")
             out.push_back(PeerNote{may<int>(event, "From"), fromBase64(may<std::string>(event, "Blob"))});
         else if (kind == "PROMOTION") {
             const int phase = may<int>(event, "Standing");
             if (phase < 0 || phase > 3) throw BadBatch("field Standing holds an unknown number");
             out.push_back(StageNews{may<int>(event, "Sense") == 1, outcome(event), may<int>(event, "BuildNo"),
-                                    may<int>(event, "Step"), static_cast<Phase>(phase), may<double>(event, "Cap"),
-                                    maySpan(event, "SinceS")});
+                                    may<int>(event, "Step"), static_cast<Phase>(phase),
+                                    may<double>(event, "Cap"), maySpan(event, "SinceS")});
         } else if (kind == "TALLY")
-            out.push_back(TallyTold{may<int>(event, "BuildNo"), may<int>(event, "Grade"), may<int>(event, "Many"),
-                                    may<int>(event, "Lost"), maySpan(event, "ElapsedS"), maySpan(event, "SinceS")});
+            out.push_back(TallyTold{may<int>(event, "BuildNo"), may<int>(event, "Grade"),
+                                    may<int>(event, "Many"), may<int>(event, "Lost"),
+                                    maySpan(event, "ElapsedS"), maySpan(event, "SinceS")});
         else if (kind == "REPORTED_WRONG")
             out.push_back(WrongReported{server(), may<int>(event, "Grade"), maySpan(event, "SinceS")});
         else throw BadBatch("field m holds an unknown event " + kind);
@@ -252,39 +264,55 @@
 }
 
 json write(InstanceId who, const Action &action) {
-    json out = std::visit(
-        Overload{
-            [](const SendTry &a) {
-                json j{{"m", "ROUTE"}, {"Req", a.req}, {"Instance", a.server}};
-                if (a.limit != Span{0}) j["LimitS"] = seconds(a.limit);
-                return j;
-            },
-            [](const CancelTry &a) { return json{{"m", "CALL_OFF"}, {"Req", a.req}, {"SendNo", a.tryNo}}; },
-            [](const Shed &a) {
-                json j{{"m", "DENY"}, {"Req", a.req}};
-                if (a.retryIn > Span{0}) j["RetryInS"] = seconds(a.retryIn);
-                return j;
-            },
-            [](const EndErrored &a) { return json{{"m", "END_FAILED"}, {"Req", a.req}}; },
-            [](const SetTimer &a) {
-                return json{{"m", "SLEEP"}, {"SleepForS", seconds(a.after)}, {"Handle", a.token}};
-            },
-            [](const Probe &a) { return json{{"m", "INSPECT"}, {"Instance", a.server}}; },
-            [](const CloseIdle &a) { return json{{"m", "DROP_CONNS"}, {"Instance", a.server}}; },
-            [](const TellPeers &a) {
-                json j{{"m", "SIGNAL"}, {"Blob", toBase64(a.bytes)}};
-                j["Peer"] = a.peer ? json(*a.peer) : json(nullptr);
-                return j;
-            },
-            [](const FollowList &a) { return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}}; },
-            [](const FetchList &) { return json{{"m", "RESOLVE"}}; },
-            [](const Vote &a) {
-                return json{
-                    {"m", "OPINION"}, {"BuildNo", a.build}, {"Step", a.step}, {"Sense", static_cast<int>(a.verdict)}};
-            },
-            [](const LogLine &a) { return json{{"m", "SAY_LOG"}, {"Words", a.words}}; },
-        },
-        action);
+    json out =
+        std::visit(Overload{
+                       [](const SendTry &a) {
+                           json j{{"m", "ROUTE"}, {"Req", a.req}, {"Instance", a.server}};
+                           if (a.limit != Span{0}) j["LimitS"] = seconds(a.limit);
+                           return j;
+                       },
+                       [](const CancelTry &a) {
+                           return json{{"m", "CALL_OFF"}, {"Req", a.req}, {"SendNo", a.tryNo}};
+                       },
+                       [](const Shed &a) {
+                           json j{{"m", "DENY"}, {"Req", a.req}};
+                           if (a.retryIn > Span{0}) j["RetryInS"] = seconds(a.retryIn);
+                           return j;
+                       },
+                       [](const EndErrored &a) {
+                           return json{{"m", "END_FAILED"}, {"Req", a.req}};
+                       },
+                       [](const SetTimer &a) {
+                           return json{{"m", "SLEEP"}, {"SleepForS", seconds(a.after)}, {"Handle", a.token}};
+                       },
+                       [](const Probe &a) {
+                           return json{{"m", "INSPECT"}, {"Instance", a.server}};
+                       },
+                       [](const CloseIdle &a) {
+                           return json{{"m", "DROP_CONNS"}, {"Instance", a.server}};
+                       },
+                       [](const TellPeers &a) {
+                           json j{{"m", "SIGNAL"}, {"Blob", toBase64(a.bytes)}};
+                           j["Peer"] = a.peer ? json(*a.peer) : json(nullptr);
+                           return j;
+                       },
+                       [](const FollowList &a) {
+                           return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}};
+                       },
+                       [](const FetchList &) {
+                           return json{{"m", "RESOLVE"}};
+                       },
+                       [](const Vote &a) {
+                           return json{{"m", "OPINION"},
+                                       {"BuildNo", a.build},
+                                       {"Step", a.step},
+                                       {"Sense", static_cast<int>(a.verdict)}};
+                       },
+                       [](const LogLine &a) {
+                           return json{{"m", "SAY_LOG"}, {"Words", a.words}};
+                       },
+                   },
+                   action);
     out["Who"] = who;
     return out;
 }
@@ -305,7 +333,8 @@
         json replies = json::array();
         for (const auto &[who, events] : batch.instances) {
             try {
-                for (const auto &action : policy.decide(who, batch.now, events)) replies.push_back(write(who, action));
+                for (const auto &action : policy.decide(who, batch.now, events))
+                    replies.push_back(write(who, action));
             } catch (const std::exception &failure) {
                 replies.push_back({{"m", "EXCEPTION"}, {"Who", who}, {"Words", failure.what()}});
             }
