Send the trial build less while its stage's machines are missing or cold

Cause: at a stage's start 0.7 of the new cap fell on the few machines there were, which then looked bad.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -254,6 +254,27 @@
         if (told && b == news.build) return news.cap;
         return v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
     }
+    // The part of the keys whose first sends go to the trial build: 0.7 of the cap. Exception: while machines
+    // of the stage are missing or cold, that part of it which runs by now, counted by warmth, so that the few
+    // that run do not get the whole stage's load and look like a bad build. Covers slow starts, late lists
+    // and machines lost. Could harm by slowing a stage that is short of a machine for good: it only sends
+    // less.
+    double trialShare() const {
+        double ready = 0;
+        std::size_t places = 0;
+        for (const auto &[id, s] : servers) {
+            if (!s.listed()) continue;
+            const bool isTrial = s.entry.build == news.build;
+            if (isTrial) ready += warmth(s);
+            places += v.replacedInPlace || !isTrial;
+        }
+        const double machines = std::max(1.0, stageShare() * static_cast<double>(places));
+        return kHashShare * news.cap * std::min(1.0, ready / machines);
+    }
+    double stageShare() const {
+        const auto step = static_cast<std::size_t>(news.step);
+        return step < v.stageShares.size() ? v.stageShares[step] : 1;
+    }
     int step(BuildNo b) const { return told && b == news.build ? news.step : 0; }
 
     // ---- the rules: the one place that every send passes ----
@@ -351,7 +372,7 @@
         bool toTrial = false;
         if (open) {
             const std::string &key = rq.in.key.empty() ? std::to_string(rq.in.req) : rq.in.key;
-            toTrial = place01(key, static_cast<std::uint64_t>(rev)) < kHashShare * news.cap;
+            toTrial = place01(key, static_cast<std::uint64_t>(rev)) < trialShare();
             // A failed req's next try goes to the other build.
             if (!rq.tries.empty()) toTrial = onTrial(rq.tries.back().build) ? false : true;
         }
@@ -662,9 +683,8 @@
             if (isNew) ++fresh, last = std::max(last, s.entry.startedAt.value_or(Span{0}));
             if (v.replacedInPlace || !isNew) ++places;
         }
-        const auto step = static_cast<std::size_t>(news.step);
-        const double share = step < v.stageShares.size() ? v.stageShares[step] : 1;
-        if (static_cast<double>(fresh) + 0.5 >= share * static_cast<double>(places)) return last + kClockLag;
+        if (static_cast<double>(fresh) + 0.5 >= stageShare() * static_cast<double>(places))
+            return last + kClockLag;
         if (now - newsBegan > kMachinesLate) return newsBegan + kMachinesLate;
         return std::nullopt;
     }
