Call a build slow only against the full-load reference and on most of its machines

Cause of false backs: at late stages the trial's machines bear more than the earlier ones beside them.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -18,25 +18,27 @@
 using namespace std::chrono_literals;
 
 // ---- Tuned values, each with its reason ----
-constexpr Span kTick = 20ms;           // housekeeping: well under the shortest wait that it decides on
-constexpr double kHashShare = 0.7;     // the design's: first sends under this part of the cap
-constexpr Span kColdEvidence = 5s;     // the design's: outcomes from younger servers are dropped
-constexpr int kWindowLeast = 20;       // the design's least count of outcomes a build
-constexpr Span kWindowSpan = 1s;       // the design's least length of a window
-constexpr double kFailMargin = 0.05;   // the design's absolute tolerance for failures
-constexpr double kFailRatio = 2;       // the design's relative tolerance for failures
-constexpr int kSlowLeast = 50;         // the design's least count for the p95
-constexpr double kSlowRatio = 1.5;     // the design's relative tolerance for the p95
-constexpr Span kSlowMargin = 20ms;     // the design's absolute tolerance for the p95
-constexpr int kHealthyStreak = 3;      // the design's
-constexpr int kUnhealthyStreak = 2;    // the design's
-constexpr Span kQuiet = 5s;            // the design's: a stage this long free of trial failures casts 'on'
-constexpr Span kPatience = 2s;         // 'on' no sooner than this after the stage's clock has started
-constexpr Span kClockLag = 1s;         // the clock starts about this long after the last machine runs
-constexpr Span kMachinesLate = 8s;     // the clock starts by then even if machines are missing
-constexpr double kColdMargin = 0.5;    // part of the tip multiple that is used: unequal gateways add up
-constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
-constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
+constexpr Span kTick = 20ms;             // housekeeping: well under the shortest wait that it decides on
+constexpr double kHashShare = 0.7;       // the design's: first sends under this part of the cap
+constexpr Span kColdEvidence = 5s;       // the design's: outcomes from younger servers are dropped
+constexpr int kWindowLeast = 20;         // the design's least count of outcomes a build
+constexpr Span kWindowSpan = 1s;         // the design's least length of a window
+constexpr double kFailMargin = 0.05;     // the design's absolute tolerance for failures
+constexpr double kFailRatio = 2;         // the design's relative tolerance for failures
+constexpr int kSlowLeast = 50;           // the design's least count for the p95
+constexpr double kSlowRatio = 1.5;       // the design's relative tolerance for the p95
+constexpr Span kSlowMargin = 20ms;       // the design's absolute tolerance for the p95
+constexpr int kHealthyStreak = 3;        // the design's
+constexpr int kUnhealthyStreak = 2;      // the design's
+constexpr double kOneServer = 1.2;       // a build is slow on most of its servers by this much, not on one
+constexpr std::size_t kReference = 200;  // latencies of the earlier build under full load that are kept
+constexpr Span kQuiet = 5s;              // the design's: a stage this long free of trial failures casts 'on'
+constexpr Span kPatience = 2500ms;   // 'on' 2 s after the stage's clock has started; half more as we guess it
+constexpr Span kClockLag = 1s;       // the clock starts about this long after the last machine runs
+constexpr Span kMachinesLate = 8s;   // the clock starts by then even if machines are missing
+constexpr double kColdMargin = 0.5;  // part of the tip multiple that is used: unequal gateways add up
+constexpr double kRetryRate = 0.2;   // further tries a req on average: more would feed a jam
+constexpr double kRetryBurst = 10;   // further tries saved up for a sudden failure
 constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
 constexpr double kLatencyFade = 4;  // seconds until an unused server's figure has mostly faded to the usual
 constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
@@ -111,7 +113,7 @@
 // What one build did in a window, by route.
 struct Arm {
     struct Cell {
-        double n = 0, fails = 0;
+        double n = 0, fails = 0, slow = 0;  // slow: sum of the completed tries' slowness
     };
     std::vector<Cell> routes;
     std::deque<double> slowness;  // of completed tries, over the route's usual latency
@@ -130,7 +132,19 @@
             n += c.fails;
         return n;
     }
-    void add(int route, bool failed) { routes[route].n += 1, routes[route].fails += failed; }
+    void add(int route, const ServerId &server, bool failed, double ratio) {
+        for (Cell *c : {&routes[static_cast<std::size_t>(route)], &servers[server]})
+            c->n += 1, c->fails += failed, c->slow += failed ? 0 : ratio;
+    }
+    // The mean slowness of the lower median server, of those with some answers; 0 if there is none.
+    double commonSlowness() const {
+        std::vector<double> means;
+        for (const auto &[id, c] : servers)
+            if (c.n - c.fails >= 5) means.push_back(c.slow / (c.n - c.fails));
+        if (means.empty()) return 0;
+        std::sort(means.begin(), means.end());
+        return means[(means.size() - 1) / 2];
+    }
 };
 
 double quantile(std::vector<double> values, double q) {
@@ -193,6 +207,7 @@
     bool votePending = false;
     std::string why;
     std::map<BuildNo, Arm> tally;
+    std::deque<double> reference;  // slowness of the earlier build while it bore about all the reqs
 
     Record(const StartValues &start, Span at)
         : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
@@ -567,7 +582,7 @@
             s.slowness = (1 - kLatencyGain) * (1 + (s.slowness - 1) * keep) + kLatencyGain * ratio;
             s.slownessAt = now;
             s.unanswered = 0, s.asideFor = Span{0};
-            if (!onTrial(t.build) && !t.cold) {
+            if (!onTrial(t.build) && !t.cold && fullLoad()) {
                 const double gain = std::max(0.01, 1.0 / (1 + usualSeen[r]++));
                 usual[r] += gain * (took - usual[r]);
             }
@@ -597,12 +612,14 @@
         if (t.sent < newsBegan && isTrial && news.step == 0) return;
         Arm &arm = isTrial ? trial : earlier;
         if (!isTrial && t.build > news.build) return;
-        arm.add(rq.in.route, failed);
-        auto &cell = arm.servers[t.server->entry.id];
-        cell.n += 1, cell.fails += failed;
+        arm.add(rq.in.route, t.server->entry.id, failed, ratio);
         if (end.how == Outcome::ok) {
             arm.slowness.push_back(ratio);
             if (arm.slowness.size() > 2 * kSlowLeast) arm.slowness.pop_front();
+            if (!isTrial && fullLoad()) {
+                reference.push_back(ratio);
+                if (reference.size() > kReference) reference.pop_front();
+            }
         }
         if (isTrial) {
             ++trialSeen;
@@ -673,6 +690,25 @@
         return mix.count() > 0 ? sum / mix.count() : 0;
     }
 
+    // Whether the earlier build bears about all that the fleet gets.
+    bool fullLoad() const { return !told || news.phase != Phase::onTrial || trialShare() < 0.25; }
+
+    // The design's p95 comparison. Exception: at late stages the trial's machines bear more than the earlier
+    // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
+    // load; and it must be slow on most of its machines. Guards against load, a neighbour or a pause on a
+    // machine being taken for the build. Could harm on a slow build whose fleet was slow before it came.
+    bool slower(const Arm &base) const {
+        if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return false;
+        const double p95 = quantile({trial.slowness.begin(), trial.slowness.end()}, 0.95);
+        const double unit = *std::min_element(usual.begin(), usual.end());
+        for (const auto *from : {&base.slowness, &reference}) {
+            if (static_cast<int>(from->size()) < kSlowLeast) return false;
+            const double other = quantile({from->begin(), from->end()}, 0.95);
+            if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
+        }
+        return trial.commonSlowness() > kOneServer * base.commonSlowness();
+    }
+
     // When the clock of the stage has started, as far as the list tells; empty while machines are missing.
     std::optional<Span> clockStart() const {
         std::size_t places = 0, fresh = 0;
@@ -705,14 +741,7 @@
             const double failT = trial.fails() / trial.count(), failE = expected(trial, base);
             bool sick = failT > failE + kFailMargin && failT > kFailRatio * failE;
             const char *reason = "failures";
-            if (!sick && static_cast<int>(trial.slowness.size()) >= kSlowLeast &&
-                static_cast<int>(base.slowness.size()) >= kSlowLeast) {
-                const double p95T = quantile({trial.slowness.begin(), trial.slowness.end()}, 0.95);
-                const double p95E = quantile({base.slowness.begin(), base.slowness.end()}, 0.95);
-                const double unit = *std::min_element(usual.begin(), usual.end());
-                sick = p95T > kSlowRatio * p95E && (p95T - p95E) * unit > secs(kSlowMargin);
-                reason = "slow";
-            }
+            if (!sick && slower(base)) sick = true, reason = "slow";
             if (sick) healthy = 0, ++unhealthy;
             else unhealthy = 0, ++healthy;
             if (unhealthy >= kUnhealthyStreak) return convict(reason);
@@ -739,7 +768,8 @@
         if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
         for (Arm *arm : {&trial, &earlier}) {
             std::fill(arm->routes.begin(), arm->routes.end(), Arm::Cell{});
-            arm->servers.clear();
+            for (auto &[id, c] : arm->servers)
+                c.n /= 2, c.fails /= 2, c.slow /= 2;
         }
         windowBegan = now;
     }
