--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -52,6 +52,7 @@
 constexpr Span kEjectMost = 8s;
 constexpr int kPairsBack = 4;       // failed on trial, then done on the other build: that many cast 'back'
 constexpr int kWrongBack = 2;       // reports of wrong answers that cast 'back' (one may be false)
+constexpr Span kMootRetry = 1s;        // pause after a vote on a stage that has passed or not yet run long enough
 constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
@@ -645,8 +646,8 @@
         if (n.answersVote) {
             votePending = false;
             if (n.how == Outcome::ok) standing = lastVote, voteDue = now + v.voteLife * 6 / 10;
-            else if (n.how == Outcome::full || n.how == Outcome::error) voteDue = now + kVoteRetry;
-            else voteDue = now + kVoteRetry;
+            // Moot: the stage has moved on and the news of it is late; nothing is gained by asking at once.
+            else voteDue = now + (n.how == Outcome::moot ? kMootRetry : kVoteRetry);
         }
         if (n.how != Outcome::ok) return;
         const Span began = now - n.since;
@@ -744,7 +745,12 @@
             if (!sick && slower(base)) sick = true, reason = "slow";
             if (sick) healthy = 0, ++unhealthy;
             else unhealthy = 0, ++healthy;
-            if (unhealthy >= kUnhealthyStreak) return convict(reason);
+            if (unhealthy >= kUnhealthyStreak) {
+                char figures[96];
+                std::snprintf(figures, sizeof figures, "%s: trial %.0f of %.0f, earlier %.0f of %.0f", reason,
+                              trial.fails(), trial.count(), base.fails(), base.count());
+                return convict(figures);
+            }
             if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
             restartCounts();
         }
