Compare latencies of the same time span only

Cause: after a shared slowdown the trial's fewer, older answers were held against the earlier build's fresh ones.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,6 +28,7 @@
 constexpr int kSlowLeast = 50;           // the design's least count for the p95
 constexpr double kSlowRatio = 1.5;       // the design's relative tolerance for the p95
 constexpr Span kSlowMargin = 20ms;       // the design's absolute tolerance for the p95
+constexpr Span kSlowSpan = 10s;          // latencies are kept this long to find the least count
 constexpr int kHealthyStreak = 3;        // the design's
 constexpr int kUnhealthyStreak = 2;      // the design's
 constexpr double kOneServer = 1.2;       // a build is slow on most of its servers by this much, not on one
@@ -50,9 +51,9 @@
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
-constexpr int kPairsBack = 4;       // failed on trial, then done on the other build: that many cast 'back'
-constexpr int kWrongBack = 2;       // reports of wrong answers that cast 'back' (one may be false)
-constexpr Span kMootRetry = 1s;        // pause after a vote on a stage that has passed or not yet run long enough
+constexpr int kPairsBack = 4;    // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kWrongBack = 2;    // reports of wrong answers that cast 'back' (one may be false)
+constexpr Span kMootRetry = 1s;  // pause after a vote on a stage that has passed or not yet run long enough
 constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
@@ -117,7 +118,7 @@
         double n = 0, fails = 0, slow = 0;  // slow: sum of the completed tries' slowness
     };
     std::vector<Cell> routes;
-    std::deque<double> slowness;  // of completed tries, over the route's usual latency
+    std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
     explicit Arm(std::size_t n) : routes(n) {}
@@ -615,8 +616,9 @@
         if (!isTrial && t.build > news.build) return;
         arm.add(rq.in.route, t.server->entry.id, failed, ratio);
         if (end.how == Outcome::ok) {
-            arm.slowness.push_back(ratio);
-            if (arm.slowness.size() > 2 * kSlowLeast) arm.slowness.pop_front();
+            arm.slowness.push_back({now, ratio});
+            while (arm.slowness.front().first < now - kSlowSpan)
+                arm.slowness.pop_front();
             if (!isTrial && fullLoad()) {
                 reference.push_back(ratio);
                 if (reference.size() > kReference) reference.pop_front();
@@ -700,11 +702,19 @@
     // machine being taken for the build. Could harm on a slow build whose fleet was slow before it came.
     bool slower(const Arm &base) const {
         if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return false;
-        const double p95 = quantile({trial.slowness.begin(), trial.slowness.end()}, 0.95);
+        // The latest of the trial's against the earlier build's of the same time, so that what slowed both a
+        // while ago is not taken for the build that has fewer and so older answers.
+        const Span since = (trial.slowness.end() - kSlowLeast)->first;
+        std::vector<double> ours, theirs;
+        for (const auto &[at, ratio] : trial.slowness)
+            if (at >= since) ours.push_back(ratio);
+        for (const auto &[at, ratio] : base.slowness)
+            if (at >= since || &base == &lastEarlier) theirs.push_back(ratio);
+        const double p95 = quantile(std::move(ours), 0.95);
         const double unit = *std::min_element(usual.begin(), usual.end());
-        for (const auto *from : {&base.slowness, &reference}) {
-            if (static_cast<int>(from->size()) < kSlowLeast) return false;
-            const double other = quantile({from->begin(), from->end()}, 0.95);
+        for (const auto &from : {theirs, std::vector<double>(reference.begin(), reference.end())}) {
+            if (static_cast<int>(from.size()) < kSlowLeast) return false;
+            const double other = quantile(from, 0.95);
             if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
         }
         return trial.commonSlowness() > kOneServer * base.commonSlowness();
