Count the servers that gave the answers in the cold budget

Cause: when most machines are replaced at once, the answers of the last span were divided by the few warm servers left, so the budget grew several-fold.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -184,10 +184,10 @@
     std::map<BuildNo, std::vector<std::deque<Span>>> trials;  // tries at a build by route, likewise
     std::vector<double> usual;                                // by route: usual seconds of an answer
     std::vector<int> usualSeen;
-    std::deque<Span> done;                    // answers of warm servers within the overload span
-    double perServer = 0;                     // of these, what one warm server has given
-    double fleet = 1;                         // median slowness of the warm servers
-    std::deque<std::pair<Span, int>> recent;  // accepted reqs and their accounts, likewise
+    std::deque<std::pair<Span, const Server *>> done;  // answers of warm servers within the overload span
+    double perServer = 0;                              // of these, what one warm server has given
+    double fleet = 1;                                  // median slowness of the warm servers
+    std::deque<std::pair<Span, int>> recent;           // accepted reqs and their accounts, likewise
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
 
@@ -592,7 +592,7 @@
                 BuildNo &stay = stays[rq.in.key];
                 stay = std::max(stay, t.build);
             }
-            if (!t.cold) done.push_back(now);
+            if (!t.cold) done.push_back({now, &s});
         } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
         else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t))
             unanswered(s);
@@ -813,13 +813,17 @@
         timer();
         while (!recent.empty() && recent.front().first <= now - v.overloadFor)
             recent.pop_front();
-        while (!done.empty() && done.front() <= now - v.overloadFor)
+        while (!done.empty() && done.front().first <= now - v.overloadFor)
             done.pop_front();
         std::vector<double> slow;
         for (auto &[id, s] : servers)
             if (s.listed() && s.age(now) >= kColdEvidence && !aside(s)) slow.push_back(slowness(s));
-        perServer =
-            static_cast<double>(done.size()) / static_cast<double>(std::max<std::size_t>(slow.size(), 1));
+        // Servers that have left since gave some of these answers: who is left did not bear them all.
+        std::set<const Server *> givers;
+        for (const auto &[at, server] : done)
+            givers.insert(server);
+        const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
+        perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
         fleet = std::max(1.0, quantile(slow, 0.5));
         for (auto &[id, s] : servers)
             while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor)
