--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,6 +48,8 @@
 constexpr double kSilent = 4;      // times the usual latency, fleet's slowness included, that tell of silence
 constexpr double kShedFrom = 0.5;  // expected latency over the objective from which reqs are shed, evenly up
 constexpr double kShedSpan = 0.5;  // over this much more; half a mean's head-room keeps most answers in time
+constexpr Span kPaceSpan = 1s;     // answers of this long give the pace: some latencies, not a surge's length
+constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
@@ -185,6 +187,7 @@
     std::vector<double> usual;                                // by route: usual seconds of an answer
     std::vector<int> usualSeen;
     std::deque<std::pair<Span, const Server *>> done;  // answers of warm servers within the overload span
+    std::deque<Span> ends;                             // answers within the last kPaceSpan
     double perServer = 0;                              // of these, what one warm server has given
     double fleet = 1;                                  // median slowness of the warm servers
     std::deque<std::pair<Span, int>> recent;           // accepted reqs and their accounts, likewise
@@ -411,22 +414,39 @@
         for (const bool desperate : {false, true})
             for (const BuildNo build : order)
                 if (Server *s = pick(rq, build, desperate)) {
-                    if (rq.tries.empty() && tooLate(rq, *s)) giveUp(rq);
+                    if (rq.tries.empty() && tooLate(rq)) giveUp(rq);
                     else send(rq, *s);
                     return true;
                 }
         return false;
     }
 
-    // Sheds while the fleet is too slow for an answer in time, ever more the slower it is, so that what is
-    // taken is answered. An account's excess over its share goes first. Covers surges, overload, lost
-    // machines and shared slowdowns. Could harm if the usual latencies were learned in a jam: they fade with
-    // new ones.
-    bool tooLate(const Req &rq, const Server &s) {
-        const double expected = usualOf(rq) * slowness(s) / secs(route(rq).latencyObjective);
+    // Sheds while the reqs under way could not be answered in time at the pace of the last second's answers,
+    // ever more the slower, so that what is taken is answered. An account's excess over its share goes first.
+    // Covers surges, overload, lost machines and shared slowdowns. Could harm where few answers come in a
+    // second: the pace is then taken from the usual latencies, and only a jam of several reqs sheds.
+    bool tooLate(const Req &rq) {
+        const double expected = usualOf(rq) * pressure() / secs(route(rq).latencyObjective);
         const double from = overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom;
         return expected > from && chance() < (expected - from) / kShedSpan;
     }
+    // How many times the usual it takes to answer what is under way (Little's law); silent servers left out.
+    double pressure() {
+        while (!ends.empty() && ends.front() <= now - kPaceSpan)
+            ends.pop_front();
+        double under = 0, work = 0;
+        for (const auto &[id, s] : servers) {
+            if (aside(s)) continue;
+            under += static_cast<double>(s.out.size());
+            for (const auto &[at, req] : s.out) {
+                const auto rq = reqs.find(req);
+                if (rq != reqs.end()) work += usualOf(rq->second);
+            }
+        }
+        if (under < kFewUnderWay) return 1;
+        const double pace = std::max(1.0, static_cast<double>(ends.size())) / secs(kPaceSpan);
+        return under / pace / (work / under);
+    }
     bool overShare(int account) const {
         if (account < 0 || account >= static_cast<int>(v.accountShares.size()) || recent.empty())
             return false;
@@ -541,6 +561,7 @@
         Try &t = rq.tries[static_cast<std::size_t>(end.tryNo)];
         t.out = false, t.how = end.how;
         t.server->out.erase({t.sent, end.req});
+        if (end.how == Outcome::ok) ends.push_back(now);
         settle(rq, t, end);
         if (end.reqOver || end.how == Outcome::ok) {
             if (!rq.answered && v.mayCancel)
