--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -203,7 +203,6 @@
     Span windowBegan{};
     int healthy = 0, unhealthy = 0;
     Span lastTrialFailure{};
-    int trialSeen = 0;
     int pairsTrial = 0, pairsEarlier = 0;
     int wrong = 0;
     bool bad = false;
@@ -211,13 +210,15 @@
     Span voteDue{};
     bool votePending = false;
     std::string why;
-    std::map<BuildNo, Arm> tally;
+    Arm tallyTrial{0}, tallyEarlier{0};
+    int tallySick = 0, ownErrors = 0;
     std::deque<double> reference;  // slowness of the earlier build while it bore about all the reqs
 
     Record(const StartValues &start, Span at)
         : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
           taken(routesCounted()), usual(v.routes.size()), usualSeen(v.routes.size()), trial(v.routes.size()),
-          earlier(v.routes.size()), lastEarlier(v.routes.size()), windowBegan(at) {
+          earlier(v.routes.size()), lastEarlier(v.routes.size()), tallyTrial(v.routes.size()),
+          tallyEarlier(v.routes.size()), windowBegan(at) {
         for (std::size_t r = 0; r < usual.size(); ++r)
             usual[r] = secs(v.routes[r].latencyObjective) / 4;
         if (v.listMustBeAsked) follow();
@@ -626,15 +627,26 @@
     bool judged(BuildNo b) const { return told && b == news.build && news.phase != Phase::withdrawn; }
 
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
-        if (!told || t.cold || end.how == Outcome::cancelled || provesNotRun(end.how)) return;
+        if (!told || end.how == Outcome::cancelled || provesNotRun(end.how)) return;
         if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
         const bool isTrial = t.build == news.build;
         const bool failed = isFailure(end.how);
         // A server that answers nothing is a machine's trouble: its silence tells nothing of the build.
         if (failed && end.how != Outcome::error && t.server->unanswered >= kEjectAfter) return;
-        if (t.sent < newsBegan && isTrial && news.step == 0) return;
+        // The pair: a req that failed on one build and was done on the other.
+        if (end.how == Outcome::ok && rq.tries.size() > 1) {
+            const Try &before = rq.tries[rq.tries.size() - 2];
+            if (before.build != t.build && !before.out && before.how == Outcome::error) {
+                if (before.build == news.build) ++pairsTrial;
+                else if (isTrial) ++pairsEarlier;
+            }
+        }
+        // A cold machine is slow, but it does not answer errors for that: only its latencies are left out of
+        // the pairs and of the stretch without failures. The windows leave out all that it answers.
+        if (isTrial && failed && (!t.cold || end.how == Outcome::error)) lastTrialFailure = now;
+        ownErrors += isTrial && end.how == Outcome::error;
+        if (t.cold || t.build > news.build) return;
         Arm &arm = isTrial ? trial : earlier;
-        if (!isTrial && t.build > news.build) return;
         arm.add(rq.in.route, t.server->entry.id, failed, ratio);
         if (end.how == Outcome::ok) {
             arm.slowness.push_back({now, ratio});
@@ -645,25 +657,40 @@
                 if (reference.size() > kReference) reference.pop_front();
             }
         }
-        if (isTrial) {
-            ++trialSeen;
-            if (failed) lastTrialFailure = now;
-        }
-        // The pair: a req that failed on one build and was done on the other.
-        if (end.how == Outcome::ok && rq.tries.size() > 1) {
-            const Try &before = rq.tries[rq.tries.size() - 2];
-            if (before.build != t.build && !before.out && before.how == Outcome::error) {
-                if (before.build == news.build) ++pairsTrial;
-                else if (isTrial) ++pairsEarlier;
-            }
-        }
     }
 
     void on(const WrongReported &w) {
         const auto s = servers.find(w.server);
         if (s != servers.end() && judged(s->second.entry.build)) ++wrong;
     }
-    void on(const TallyTold &) {}
+    void on(const TallyTold &c) {
+        if (!told || c.since > now - newsBegan || c.build > news.build) return;
+        Arm &arm = c.build == news.build ? tallyTrial : tallyEarlier;
+        auto &cell = arm.routes.at(static_cast<std::size_t>(c.route));
+        cell.n += c.counted, cell.fails += c.lost;
+    }
+
+    // Exception where the platform counts tries: a gateway with too few outcomes for a window of its own
+    // takes the counts, which are the same for all, as windows. They hold refusals and dead machines as well,
+    // so a gateway goes by them only if it has met an error of the trial build itself. Covers bad builds at
+    // small gateways. Could harm when a dying trial machine and a rare error meet.
+    void judgeTally() {
+        if (tallyTrial.count() < kWindowLeast || tallyEarlier.count() < kWindowLeast) return;
+        if (ownErrors > 0 && tooMany(tallyTrial, tallyEarlier)) ++tallySick;
+        else tallySick = 0;
+        if (tallySick >= kUnhealthyStreak) convict("counts: " + figures(tallyTrial, tallyEarlier));
+        tallyTrial = tallyEarlier = Arm(v.routes.size());
+    }
+    bool tooMany(const Arm &ours, const Arm &theirs) const {
+        const double rate = ours.fails() / ours.count(), other = expected(ours, theirs);
+        return rate > other + kFailMargin && rate > kFailRatio * other;
+    }
+    static std::string figures(const Arm &ours, const Arm &theirs) {
+        char text[96];
+        std::snprintf(text, sizeof text, "trial %.0f of %.0f, earlier %.0f of %.0f", ours.fails(),
+                      ours.count(), theirs.fails(), theirs.count());
+        return text;
+    }
 
     void on(const StageNews &n) {
         if (n.answersVote) {
@@ -690,7 +717,8 @@
                 if (build >= n.build) build = 0;
         restart();
         healthy = unhealthy = 0;
-        pairsTrial = pairsEarlier = trialSeen = 0;
+        pairsTrial = pairsEarlier = tallySick = ownErrors = 0;
+        tallyTrial = tallyEarlier = Arm(v.routes.size());
         lastTrialFailure = Span{0};
         wanted = bad ? Verdict::back : Verdict::none;
         standing = Verdict::none, voteDue = now, votePending = false;
@@ -767,21 +795,18 @@
         if (!told || bad || (news.phase != Phase::onTrial && news.phase != Phase::released)) return;
         if (wrong >= kWrongBack) return convict("wrong answers");
         if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
+        judgeTally();
+        if (bad) return;
         const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
         if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast &&
             base.count() >= kWindowLeast) {
-            const double failT = trial.fails() / trial.count(), failE = expected(trial, base);
-            bool sick = failT > failE + kFailMargin && failT > kFailRatio * failE;
+            bool sick = tooMany(trial, base);
             const char *reason = "failures";
             if (!sick && slower(base)) sick = true, reason = "slow";
             if (sick) healthy = 0, ++unhealthy;
             else unhealthy = 0, ++healthy;
-            if (unhealthy >= kUnhealthyStreak) {
-                char figures[96];
-                std::snprintf(figures, sizeof figures, "%s: trial %.0f of %.0f, earlier %.0f of %.0f", reason,
-                              trial.fails(), trial.count(), base.fails(), base.count());
-                return convict(figures);
-            }
+            if (unhealthy >= kUnhealthyStreak)
+                return convict(std::string(reason) + ": " + figures(trial, base));
             if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
             restartCounts();
         }
@@ -795,7 +820,7 @@
         }
         const auto clock = clockStart();
         if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
-        const bool quiet = now - newsBegan >= kQuiet && lastTrialFailure == Span{0};
+        const bool quiet = now - std::max(newsBegan, lastTrialFailure) >= kQuiet && tallySick == 0;
         if (healthy >= kHealthyStreak) wanted = Verdict::on, why = "healthy", voteDue = now;
         else if (quiet) wanted = Verdict::on, why = "quiet", voteDue = now;
     }
