Pause the trial build when both builds slow, and blame it if that helps twice

Cause: a build that slows old and new servers alike in step with its traffic shows in no comparison.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,6 +33,13 @@
 constexpr int kUnhealthyStreak = 2;      // the design's
 constexpr double kOneServer = 1.2;       // a build is slow on most of its servers by this much, not on one
 constexpr std::size_t kReference = 200;  // latencies of the earlier build under full load that are kept
+constexpr double kFleetSlow = 1.4;  // times its full-load median that make the earlier build slow as well
+constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
+constexpr Span kPulseSpan = 1500ms;      // of this long at most: it must follow a pause of the trial build
+constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
+constexpr Span kPauseMost = 4s;          // a pause that has not helped by now clears the build
+constexpr Span kResumeMost = 6s;         // nor is it blamed if the slowness is not back by now
+constexpr Span kClearFor = 8s;           // once cleared, no new pause for this long
 constexpr Span kQuiet = 5s;              // the design's: a stage this long free of trial failures casts 'on'
 constexpr Span kPatience = 2500ms;   // 'on' 2 s after the stage's clock has started; half more as we guess it
 constexpr Span kClockLag = 1s;       // the clock starts about this long after the last machine runs
@@ -212,6 +219,10 @@
     std::string why;
     Arm tallyTrial{0}, tallyEarlier{0};
     int tallySick = 0, ownErrors = 0;
+    std::deque<std::pair<Span, double>> pulse;  // the earlier build's slowness within kPulseSpan
+    enum class Suspicion { none, paused, resumed } suspicion = Suspicion::none;
+    Span suspectedAt{}, slowSince{}, clearUntil{};
+    double slowAtPause = 0;
     std::deque<double> reference;  // slowness of the earlier build while it bore about all the reqs
 
     Record(const StartValues &start, Span at)
@@ -290,7 +301,7 @@
             places += v.replacedInPlace || !isTrial;
         }
         const double machines = std::max(1.0, stageShare() * static_cast<double>(places));
-        return kHashShare * news.cap * std::min(1.0, ready / machines);
+        return suspicion == Suspicion::paused ? 0 : kHashShare * news.cap * std::min(1.0, ready / machines);
     }
     double stageShare() const {
         const auto step = static_cast<std::size_t>(news.step);
@@ -652,6 +663,7 @@
             arm.slowness.push_back({now, ratio});
             while (arm.slowness.front().first < now - kSlowSpan)
                 arm.slowness.pop_front();
+            if (!isTrial) pulse.push_back({now, ratio});
             if (!isTrial && fullLoad()) {
                 reference.push_back(ratio);
                 if (reference.size() > kReference) reference.pop_front();
@@ -715,6 +727,7 @@
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
             for (auto &[key, build] : stays)
                 if (build >= n.build) build = 0;
+        suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
         restart();
         healthy = unhealthy = 0;
         pairsTrial = pairsEarlier = tallySick = ownErrors = 0;
@@ -743,7 +756,46 @@
     }
 
     // Whether the earlier build bears about all that the fleet gets.
-    bool fullLoad() const { return !told || news.phase != Phase::onTrial || trialShare() < 0.25; }
+    bool fullLoad() const {
+        if (!told || news.phase != Phase::onTrial) return true;
+        return suspicion == Suspicion::none && slowSince == Span{0} && trialShare() < 0.25;
+    }
+
+    // Exception for a build that slows the earlier one as well, in step with its traffic, which no comparison
+    // of the two can show: when the earlier build's median has left its full-load figure, this gateway stops
+    // first sends to the trial build. If that helps, it resumes; if the slowness then comes back, the build
+    // is blamed, and else it is cleared. All gateways see the slowness at about the same time, so they pause
+    // together without a word. Covers shared stores, caches and locks. Told from a shared slowdown, a burst
+    // or a long req by the pause, which does not cure those, and by the return. Could harm by delaying a good
+    // build for some seconds when a slowdown ends during the pause.
+    void suspect() {
+        while (!pulse.empty() && pulse.front().first < now - kPulseSpan)
+            pulse.pop_front();
+        if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
+        std::vector<double> recentRatios;
+        for (const auto &[at, ratio] : pulse)
+            recentRatios.push_back(ratio);
+        const double slow =
+            quantile(std::move(recentRatios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
+        if (slow <= kFleetSlow) slowSince = Span{0};
+        else if (slowSince == Span{0}) slowSince = now;
+        const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor;
+        const auto turn = [&](Suspicion to, const char *words) {
+            suspicion = to, suspectedAt = now, slowSince = Span{0};
+            log(words);
+        };
+        if (suspicion == Suspicion::none && lasting && now >= clearUntil && trialShare() > 0) {
+            slowAtPause = slow;
+            turn(Suspicion::paused, "pause: both builds slow");
+        } else if (suspicion == Suspicion::paused) {
+            if (slow - 1 < (slowAtPause - 1) / 2) turn(Suspicion::resumed, "resume: the pause has helped");
+            else if (now - suspectedAt > kPauseMost)
+                clearUntil = now + kClearFor, turn(Suspicion::none, "resume: the pause has not helped");
+        } else if (suspicion == Suspicion::resumed) {
+            if (lasting) convict("slows both builds");
+            else if (now - suspectedAt > kResumeMost) turn(Suspicion::none, "cleared: not slow again");
+        }
+    }
 
     // The design's p95 comparison. Exception: at late stages the trial's machines bear more than the earlier
     // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
@@ -811,6 +863,8 @@
             restartCounts();
         }
         if (news.phase != Phase::onTrial) return;
+        suspect();
+        if (bad) return;
         if (v.gate == Gate::clock) {
             const Verdict w = unhealthy > 0                            ? Verdict::hold
                               : healthy > 0 && wanted == Verdict::hold ? Verdict::none
@@ -820,6 +874,7 @@
         }
         const auto clock = clockStart();
         if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
+        if (suspicion != Suspicion::none || (slowSince != Span{0} && now >= clearUntil)) return;
         const bool quiet = now - std::max(newsBegan, lastTrialFailure) >= kQuiet && tallySick == 0;
         if (healthy >= kHealthyStreak) wanted = Verdict::on, why = "healthy", voteDue = now;
         else if (quiet) wanted = Verdict::on, why = "quiet", voteDue = now;
