Take a long-released build as the next one's reference; shorten the module

Cause: the full-load reference was filled only from the first stage on, as the released build counted as the trial one.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -126,25 +126,22 @@
     struct Cell {
         double n = 0, fails = 0, slow = 0;  // slow: sum of the completed tries' slowness
     };
-    std::vector<Cell> routes;
+    std::map<int, Cell> routes;
     std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
-    explicit Arm(std::size_t n) : routes(n) {}
     double count() const {
         double n = 0;
-        for (const auto &c : routes)
-            n += c.n;
+        for (const auto &[r, c] : routes) n += c.n;
         return n;
     }
     double fails() const {
         double n = 0;
-        for (const auto &c : routes)
-            n += c.fails;
+        for (const auto &[r, c] : routes) n += c.fails;
         return n;
     }
     void add(int route, const ServerId &server, bool failed, double ratio) {
-        for (Cell *c : {&routes[static_cast<std::size_t>(route)], &servers[server]})
+        for (Cell *c : {&routes[route], &servers[server]})
             c->n += 1, c->fails += failed, c->slow += failed ? 0 : ratio;
     }
     // The mean slowness of the lower median server, of those with some answers; 0 if there is none.
@@ -158,6 +155,13 @@
     }
 };
 
+// Forgets what came by that time from a queue in order of time, bare or with something beside it.
+Span timeOf(Span at) { return at; }
+template <class T> Span timeOf(const std::pair<Span, T> &entry) { return entry.first; }
+template <class T> void forget(std::deque<T> &queue, Span until) {
+    while (!queue.empty() && timeOf(queue.front()) <= until) queue.pop_front();
+}
+
 double quantile(std::vector<double> values, double q) {
     if (values.empty()) return 0;
     const auto at =
@@ -169,8 +173,7 @@
 // The same for every gateway, whatever the standard library hashes with.
 double place01(const std::string &text, std::uint64_t salt) {
     std::uint64_t h = 0xcbf29ce484222325u ^ (salt * 0x9e3779b97f4a7c15u);
-    for (const char c : text)
-        h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
+    for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
     h ^= h >> 31, h *= 0xbf58476d1ce4e5b9u, h ^= h >> 29;
     return static_cast<double>(h >> 11) / 9007199254740992.0;
 }
@@ -206,7 +209,7 @@
     Span newsBegan{};  // when the stage told last began
 
     // the judge
-    Arm trial{0}, earlier{0}, lastEarlier{0};
+    Arm trial, earlier, lastEarlier;
     Span windowBegan{};
     int healthy = 0, unhealthy = 0;
     Span lastTrialFailure{};
@@ -214,10 +217,11 @@
     int wrong = 0;
     bool bad = false;
     Verdict wanted = Verdict::none, standing = Verdict::none;
-    Span voteDue{};
+    Verdict lastVote = Verdict::none;
+    Span voteDue{}, voteSent{};
     bool votePending = false;
     std::string why;
-    Arm tallyTrial{0}, tallyEarlier{0};
+    Arm tallyTrial, tallyEarlier;
     int tallySick = 0, ownErrors = 0;
     std::deque<std::pair<Span, double>> pulse;  // the earlier build's slowness within kPulseSpan
     enum class Suspicion { none, paused, resumed } suspicion = Suspicion::none;
@@ -227,11 +231,8 @@
 
     Record(const StartValues &start, Span at)
         : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
-          taken(routesCounted()), usual(v.routes.size()), usualSeen(v.routes.size()), trial(v.routes.size()),
-          earlier(v.routes.size()), lastEarlier(v.routes.size()), tallyTrial(v.routes.size()),
-          tallyEarlier(v.routes.size()), windowBegan(at) {
-        for (std::size_t r = 0; r < usual.size(); ++r)
-            usual[r] = secs(v.routes[r].latencyObjective) / 4;
+          taken(routesCounted()), usual(v.routes.size()), usualSeen(v.routes.size()), windowBegan(at) {
+        for (std::size_t r = 0; r < usual.size(); ++r) usual[r] = secs(v.routes[r].latencyObjective) / 4;
         if (v.listMustBeAsked) follow();
         timer();
     }
@@ -347,10 +348,8 @@
         if (share <= 0) return false;
         const std::size_t c = counted(route);
         auto &tries = trials.try_emplace(build, routesCounted()).first->second[c];
-        while (!tries.empty() && tries.front() < now - v.exposureSpan - kTick)
-            tries.pop_front();
-        while (!taken[c].empty() && taken[c].front() <= now - v.exposureSpan + kTick)
-            taken[c].pop_front();
+        forget(tries, now - v.exposureSpan - kTick);
+        forget(taken[c], now - v.exposureSpan + kTick);
         return static_cast<double>(tries.size()) + 1 <=
                v.spareTries + share * static_cast<double>(taken[c].size());
     }
@@ -444,8 +443,7 @@
     }
     // How many times the usual it takes to answer what is under way (Little's law); silent servers left out.
     double pressure() {
-        while (!ends.empty() && ends.front() <= now - kPaceSpan)
-            ends.pop_front();
+        forget(ends, now - kPaceSpan);
         double under = 0, work = 0;
         for (const auto &[id, s] : servers) {
             if (aside(s)) continue;
@@ -480,6 +478,11 @@
         out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
 
+    void callOff(const Req &rq) {
+        for (std::size_t k = 0; v.mayCancel && k < rq.tries.size(); ++k)
+            if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, static_cast<int>(k)});
+    }
+
     // The final answer of a req that is given up: shed where that is true, errored else.
     void giveUp(Req &rq) {
         if (rq.answered) return;
@@ -488,9 +491,7 @@
         const bool ran = rq.firstThatMayHaveRun() != nullptr;
         const bool mayShed = rt.effect == Effect::retriable || !ran ||
                              (rt.effect == Effect::deduped && rt.group == Group::all);
-        if (v.mayCancel)
-            for (std::size_t k = 0; k < rq.tries.size(); ++k)
-                if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, static_cast<int>(k)});
+        callOff(rq);
         if (mayShed)
             out.push_back(
                 Shed{rq.in.req, v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0}});
@@ -560,9 +561,7 @@
         const auto it = reqs.find(gone.req);
         if (it == reqs.end()) return;
         it->second.answered = true;
-        if (v.mayCancel)
-            for (std::size_t k = 0; k < it->second.tries.size(); ++k)
-                if (it->second.tries[k].out) out.push_back(CancelTry{gone.req, static_cast<int>(k)});
+        callOff(it->second);
         drop(it);
     }
 
@@ -576,9 +575,7 @@
         if (end.how == Outcome::ok) ends.push_back(now);
         settle(rq, t, end);
         if (end.reqOver || end.how == Outcome::ok) {
-            if (!rq.answered && v.mayCancel)
-                for (std::size_t k = 0; k < rq.tries.size(); ++k)
-                    if (rq.tries[k].out) out.push_back(CancelTry{end.req, static_cast<int>(k)});
+            if (!rq.answered) callOff(rq);
             rq.answered = true;
         }
         if (rq.answered) return drop(it);
@@ -635,7 +632,6 @@
     }
 
     // ---- the judge ----
-    bool judged(BuildNo b) const { return told && b == news.build && news.phase != Phase::withdrawn; }
 
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
         if (!told || end.how == Outcome::cancelled || provesNotRun(end.how)) return;
@@ -661,10 +657,11 @@
         arm.add(rq.in.route, t.server->entry.id, failed, ratio);
         if (end.how == Outcome::ok) {
             arm.slowness.push_back({now, ratio});
-            while (arm.slowness.front().first < now - kSlowSpan)
-                arm.slowness.pop_front();
-            if (!isTrial) pulse.push_back({now, ratio});
-            if (!isTrial && fullLoad()) {
+            while (arm.slowness.front().first < now - kSlowSpan) arm.slowness.pop_front();
+            // A build that was released a while ago is the next one's earlier build.
+            const bool current = isTrial ? !onTrial(t.build) && now - newsBegan > kSlowSpan : true;
+            if (current) pulse.push_back({now, ratio});
+            if (current && fullLoad()) {
                 reference.push_back(ratio);
                 if (reference.size() > kReference) reference.pop_front();
             }
@@ -673,12 +670,12 @@
 
     void on(const WrongReported &w) {
         const auto s = servers.find(w.server);
-        if (s != servers.end() && judged(s->second.entry.build)) ++wrong;
+        if (s != servers.end() && told && s->second.entry.build == news.build) ++wrong;
     }
     void on(const TallyTold &c) {
         if (!told || c.since > now - newsBegan || c.build > news.build) return;
         Arm &arm = c.build == news.build ? tallyTrial : tallyEarlier;
-        auto &cell = arm.routes.at(static_cast<std::size_t>(c.route));
+        auto &cell = arm.routes[c.route];
         cell.n += c.counted, cell.fails += c.lost;
     }
 
@@ -691,7 +688,7 @@
         if (ownErrors > 0 && tooMany(tallyTrial, tallyEarlier)) ++tallySick;
         else tallySick = 0;
         if (tallySick >= kUnhealthyStreak) convict("counts: " + figures(tallyTrial, tallyEarlier));
-        tallyTrial = tallyEarlier = Arm(v.routes.size());
+        tallyTrial = tallyEarlier = Arm{};
     }
     bool tooMany(const Arm &ours, const Arm &theirs) const {
         const double rate = ours.fails() / ours.count(), other = expected(ours, theirs);
@@ -722,16 +719,17 @@
         newsBegan = began;
         if (fresh) {
             bad = false, wrong = 0;
-            lastEarlier = Arm(v.routes.size());
+            lastEarlier = Arm{};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
             for (auto &[key, build] : stays)
                 if (build >= n.build) build = 0;
         suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
-        restart();
+        closeWindow();
+        trial = earlier = Arm{};
         healthy = unhealthy = 0;
         pairsTrial = pairsEarlier = tallySick = ownErrors = 0;
-        tallyTrial = tallyEarlier = Arm(v.routes.size());
+        tallyTrial = tallyEarlier = Arm{};
         lastTrialFailure = Span{0};
         wanted = bad ? Verdict::back : Verdict::none;
         standing = Verdict::none, voteDue = now, votePending = false;
@@ -741,17 +739,12 @@
         log(line);
     }
 
-    void restart() {
-        if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
-        trial = earlier = Arm(v.routes.size());
-        windowBegan = now;
-    }
-
     // Expected failures of the earlier build on the trial's mix of routes, as a rate.
     double expected(const Arm &mix, const Arm &from) const {
         double sum = 0;
-        for (std::size_t r = 0; r < mix.routes.size(); ++r)
-            if (from.routes[r].n > 0) sum += mix.routes[r].n * from.routes[r].fails / from.routes[r].n;
+        for (const auto &[r, c] : from.routes)
+            if (const auto m = mix.routes.find(r); m != mix.routes.end() && c.n > 0)
+                sum += m->second.n * c.fails / c.n;
         return mix.count() > 0 ? sum / mix.count() : 0;
     }
 
@@ -769,12 +762,10 @@
     // or a long req by the pause, which does not cure those, and by the return. Could harm by delaying a good
     // build for some seconds when a slowdown ends during the pause.
     void suspect() {
-        while (!pulse.empty() && pulse.front().first < now - kPulseSpan)
-            pulse.pop_front();
+        forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
         std::vector<double> recentRatios;
-        for (const auto &[at, ratio] : pulse)
-            recentRatios.push_back(ratio);
+        for (const auto &[at, ratio] : pulse) recentRatios.push_back(ratio);
         const double slow =
             quantile(std::move(recentRatios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
         if (slow <= kFleetSlow) slowSince = Span{0};
@@ -860,7 +851,7 @@
             if (unhealthy >= kUnhealthyStreak)
                 return convict(std::string(reason) + ": " + figures(trial, base));
             if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
-            restartCounts();
+            closeWindow();
         }
         if (news.phase != Phase::onTrial) return;
         suspect();
@@ -881,19 +872,15 @@
     }
 
     // A closed window's counts are dropped; the latencies stay, so that the p95 has its least count.
-    void restartCounts() {
+    void closeWindow() {
         if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
         for (Arm *arm : {&trial, &earlier}) {
-            std::fill(arm->routes.begin(), arm->routes.end(), Arm::Cell{});
-            for (auto &[id, c] : arm->servers)
-                c.n /= 2, c.fails /= 2, c.slow /= 2;
+            arm->routes.clear();
+            for (auto &[id, c] : arm->servers) c.n /= 2, c.fails /= 2, c.slow /= 2;
         }
         windowBegan = now;
     }
 
-    Verdict lastVote = Verdict::none;
-    Span voteSent{};
-
     void vote() {
         if (!told || now < voteDue) return;
         if (votePending && now < voteSent + v.voteAnswerWithin + kVoteRetry) return;
@@ -912,23 +899,18 @@
 
     void on(const TimerFired &) {
         timer();
-        while (!recent.empty() && recent.front().first <= now - v.overloadFor)
-            recent.pop_front();
-        while (!done.empty() && done.front().first <= now - v.overloadFor)
-            done.pop_front();
+        forget(recent, now - v.overloadFor);
+        forget(done, now - v.overloadFor);
         std::vector<double> slow;
         for (auto &[id, s] : servers)
             if (s.listed() && s.age(now) >= kColdEvidence && !aside(s)) slow.push_back(slowness(s));
         // Servers that have left since gave some of these answers: who is left did not bear them all.
         std::set<const Server *> givers;
-        for (const auto &[at, server] : done)
-            givers.insert(server);
+        for (const auto &[at, server] : done) givers.insert(server);
         const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
         perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
         fleet = std::max(1.0, quantile(slow, 0.5));
-        for (auto &[id, s] : servers)
-            while (!s.coldSends.empty() && s.coldSends.front() <= now - v.overloadFor)
-                s.coldSends.pop_front();
+        for (auto &[id, s] : servers) forget(s.coldSends, now - v.overloadFor);
         if (v.listMustBeAsked && now >= askAgainAt) {
             if (!following) follow();
             else askAgainAt = now + kWindowSpan;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -55,8 +55,7 @@
 
 std::vector<double> numbers(const json &from, const char *name) {
     std::vector<double> out;
-    for (const auto &value : rows(from, name))
-        out.push_back(value.is_null() ? 0 : as<double>(value, name));
+    for (const auto &value : rows(from, name)) out.push_back(value.is_null() ? 0 : as<double>(value, name));
     return out;
 }
 
@@ -105,8 +104,7 @@
         route.lateBenefit = may<double>(grade, "LateWorth");
         v.routes.push_back(route);
     }
-    for (const auto &realm : rows(from, "Realms"))
-        v.accountShares.push_back(may<double>(realm, "Share"));
+    for (const auto &realm : rows(from, "Realms")) v.accountShares.push_back(may<double>(realm, "Share"));
     v.mayCopy = may<bool>(limits, "MayDuplicate");
     v.mayCancel = may<bool>(limits, "Cancel");
     v.mayProbe = may<bool>(limits, "Probes");
@@ -204,8 +202,7 @@
         const auto kind = need<std::string>(event, "m");
         if (kind == "LIST") {
             std::vector<ServerEntry> entries;
-            for (const auto &entry : rows(event, "NodesList"))
-                entries.push_back(serverEntry(entry));
+            for (const auto &entry : rows(event, "NodesList")) entries.push_back(serverEntry(entry));
             lists[may<std::int64_t>(event, "Table")] = std::move(entries);
             continue;
         }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -78,8 +78,7 @@
     }
 
     void give(const Event &event) {
-        for (const auto &action : policy.decide(1, now, {event}))
-            take(action);
+        for (const auto &action : policy.decide(1, now, {event})) take(action);
     }
     void note(const std::string &text) { seen.push_back({now, text}); }
 
@@ -112,6 +111,7 @@
             note(std::string("vote ") + words[static_cast<int>(v->verdict)] +
                  " build=" + std::to_string(v->build) + " step=" + std::to_string(v->step));
         } else if (std::get_if<FollowList>(&action)) note("follow");
+        else if (const auto *words = std::get_if<LogLine>(&action)) note("log " + words->words);
     }
     ServerId lastServer(ReqId req, int tryNo) {
         const std::string from = "send req=" + std::to_string(req) + " ",
@@ -157,8 +157,7 @@
         for (const auto &[at, text] : seen) {
             const Line s(text);
             bool fits = s.words.size() + 1 >= l.words.size();
-            for (std::size_t k = 1; fits && k < l.words.size(); ++k)
-                fits = s.words[k - 1] == l.words[k];
+            for (std::size_t k = 1; fits && k < l.words.size(); ++k) fits = s.words[k - 1] == l.words[k];
             for (const auto &[name, value] : l.named)
                 if (name != "least" && name != "most") fits = fits && s.text(name) == value;
             n += fits;
@@ -188,8 +187,7 @@
             if (l.named.count("age")) e.startedAt = now - span(l.number("age", 0));
         } else if (verb == "list") {
             ListTold told{true, {}};
-            for (const auto &[id, e] : servers)
-                told.entries.push_back(e);
+            for (const auto &[id, e] : servers) told.entries.push_back(e);
             give(told);
         } else if (verb == "lost") give(ListFailed{});
         else if (verb == "answers") {
