--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -31,7 +31,7 @@
 constexpr Span kSlowSpan = 10s;          // latencies are kept this long to find the least count
 constexpr int kHealthyStreak = 3;        // the design's
 constexpr int kUnhealthyStreak = 2;      // the design's
-constexpr double kOneServer = 1.2;       // a build is slow on most of its servers by this much, not on one
+constexpr double kOneServer = 1.35;      // a build is slow on most of its servers by this much, not on one
 constexpr std::size_t kReference = 200;  // latencies of the earlier build under full load that are kept
 constexpr double kFleetSlow = 1.4;  // times its full-load median that make the earlier build slow as well
 constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
@@ -124,7 +124,7 @@
 // What one build did in a window, by route.
 struct Arm {
     struct Cell {
-        double n = 0, fails = 0, slow = 0;  // slow: sum of the completed tries' slowness
+        double n = 0, fails = 0, errors = 0, slow = 0;  // slow: sum of the completed tries' slowness
     };
     std::map<int, Cell> routes;
     std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
@@ -140,9 +140,9 @@
         for (const auto &[r, c] : routes) n += c.fails;
         return n;
     }
-    void add(int route, const ServerId &server, bool failed, double ratio) {
+    void add(int route, const ServerId &server, bool failed, bool error, double ratio) {
         for (Cell *c : {&routes[route], &servers[server]})
-            c->n += 1, c->fails += failed, c->slow += failed ? 0 : ratio;
+            c->n += 1, c->fails += failed, c->errors += error, c->slow += failed ? 0 : ratio;
     }
     // The mean slowness of the lower median server, of those with some answers; 0 if there is none.
     double commonSlowness() const {
@@ -654,7 +654,7 @@
         ownErrors += isTrial && end.how == Outcome::error;
         if (t.cold || t.build > news.build) return;
         Arm &arm = isTrial ? trial : earlier;
-        arm.add(rq.in.route, t.server->entry.id, failed, ratio);
+        arm.add(rq.in.route, t.server->entry.id, failed, end.how == Outcome::error, ratio);
         if (end.how == Outcome::ok) {
             arm.slowness.push_back({now, ratio});
             while (arm.slowness.front().first < now - kSlowSpan) arm.slowness.pop_front();
@@ -690,9 +690,15 @@
         if (tallySick >= kUnhealthyStreak) convict("counts: " + figures(tallyTrial, tallyEarlier));
         tallyTrial = tallyEarlier = Arm{};
     }
-    bool tooMany(const Arm &ours, const Arm &theirs) const {
-        const double rate = ours.fails() / ours.count(), other = expected(ours, theirs);
-        return rate > other + kFailMargin && rate > kFailRatio * other;
+    static bool tooMany(const Arm &ours, const Arm &theirs, bool errorsOnly = false) {
+        double lost = 0, other = 0;
+        for (const auto &[r, c] : ours.routes) {
+            lost += errorsOnly ? c.errors : c.fails;
+            // the earlier build's failures on our mix of routes
+            if (const auto t = theirs.routes.find(r); t != theirs.routes.end() && t->second.n > 0)
+                other += c.n * t->second.fails / t->second.n;
+        }
+        return lost > other + kFailMargin * ours.count() && lost > kFailRatio * other;
     }
     static std::string figures(const Arm &ours, const Arm &theirs) {
         char text[96];
@@ -739,15 +745,6 @@
         log(line);
     }
 
-    // Expected failures of the earlier build on the trial's mix of routes, as a rate.
-    double expected(const Arm &mix, const Arm &from) const {
-        double sum = 0;
-        for (const auto &[r, c] : from.routes)
-            if (const auto m = mix.routes.find(r); m != mix.routes.end() && c.n > 0)
-                sum += m->second.n * c.fails / c.n;
-        return mix.count() > 0 ? sum / mix.count() : 0;
-    }
-
     // Whether the earlier build bears about all that the fleet gets.
     bool fullLoad() const {
         if (!told || news.phase != Phase::onTrial) return true;
@@ -788,11 +785,18 @@
         }
     }
 
+    // Exception: time-outs and resets alone are no build's failures unless it is slow on most of its
+    // machines. Guards against dying, silent or crowded machines. Could harm on a build that drops reqs
+    // without a word.
+    bool slowOnMost(const Arm &base) const {
+        return trial.commonSlowness() > kOneServer * base.commonSlowness();
+    }
+
     // The design's p95 comparison. Exception: at late stages the trial's machines bear more than the earlier
     // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
     // load; and it must be slow on most of its machines. Guards against load, a neighbour or a pause on a
     // machine being taken for the build. Could harm on a slow build whose fleet was slow before it came.
-    bool slower(const Arm &base) const {
+    bool slower(const Arm &base) {
         if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return false;
         // The latest of the trial's against the earlier build's of the same time, so that what slowed both a
         // while ago is not taken for the build that has fewer and so older answers.
@@ -802,6 +806,7 @@
             if (at >= since) ours.push_back(ratio);
         for (const auto &[at, ratio] : base.slowness)
             if (at >= since || &base == &lastEarlier) theirs.push_back(ratio);
+        trial.slowness.clear();  // the next window of a streak is judged on answers of its own
         const double p95 = quantile(std::move(ours), 0.95);
         const double unit = *std::min_element(usual.begin(), usual.end());
         for (const auto &from : {theirs, std::vector<double>(reference.begin(), reference.end())}) {
@@ -809,7 +814,7 @@
             const double other = quantile(from, 0.95);
             if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
         }
-        return trial.commonSlowness() > kOneServer * base.commonSlowness();
+        return slowOnMost(base);
     }
 
     // When the clock of the stage has started, as far as the list tells; empty while machines are missing.
@@ -843,7 +848,7 @@
         const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
         if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast &&
             base.count() >= kWindowLeast) {
-            bool sick = tooMany(trial, base);
+            bool sick = tooMany(trial, base) && (tooMany(trial, base, true) || slowOnMost(base));
             const char *reason = "failures";
             if (!sick && slower(base)) sick = true, reason = "slow";
             if (sick) healthy = 0, ++unhealthy;
@@ -876,7 +881,7 @@
         if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
         for (Arm *arm : {&trial, &earlier}) {
             arm->routes.clear();
-            for (auto &[id, c] : arm->servers) c.n /= 2, c.fails /= 2, c.slow /= 2;
+            for (auto &[id, c] : arm->servers) c.n /= 2, c.fails /= 2, c.errors /= 2, c.slow /= 2;
         }
         windowBegan = now;
     }
