--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,8 +39,9 @@
 constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
 constexpr Span kPauseMost = 4s;          // a pause that has not helped by now clears the build
 constexpr Span kResumeMost = 6s;         // nor is it blamed if the slowness is not back by now
-constexpr Span kClearFor = 8s;           // once cleared, no new pause for this long
-constexpr Span kQuiet = 5s;              // the design's: a stage this long free of trial failures casts 'on'
+constexpr double kHelped = 0.4;      // part of the excess that is left when a pause has helped: most has gone
+constexpr Span kClearFor = 8s;       // once cleared, no new pause for this long
+constexpr Span kQuiet = 5s;          // the design's: a stage this long free of trial failures casts 'on'
 constexpr Span kPatience = 2500ms;   // 'on' 2 s after the stage's clock has started; half more as we guess it
 constexpr Span kClockLag = 1s;       // the clock starts about this long after the last machine runs
 constexpr Span kMachinesLate = 8s;   // the clock starts by then even if machines are missing
@@ -776,11 +777,13 @@
             slowAtPause = slow;
             turn(Suspicion::paused, "pause: both builds slow");
         } else if (suspicion == Suspicion::paused) {
-            if (slow - 1 < (slowAtPause - 1) / 2) turn(Suspicion::resumed, "resume: the pause has helped");
+            // judged on answers that came wholly after the pause began
+            const bool helped = slow - 1 < kHelped * (slowAtPause - 1) && now - suspectedAt >= kPulseSpan;
+            if (helped) turn(Suspicion::resumed, "resume: the pause has helped");
             else if (now - suspectedAt > kPauseMost)
                 clearUntil = now + kClearFor, turn(Suspicion::none, "resume: the pause has not helped");
         } else if (suspicion == Suspicion::resumed) {
-            if (lasting) convict("slows both builds");
+            if (lasting && slow - 1 > kHelped * (slowAtPause - 1)) convict("slows both builds");
             else if (now - suspectedAt > kResumeMost) turn(Suspicion::none, "cleared: not slow again");
         }
     }
