Bring the trial build down to an even share before blaming slowness on it

Cause: 0.7 of the cap is more a machine than the earlier build's, so at high load the trial's machines jam and look like a slow build.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -216,7 +216,8 @@
     Span lastTrialFailure{};
     int pairsTrial = 0, pairsEarlier = 0;
     int wrong = 0;
-    bool bad = false;
+    bool bad = false, eased = false;
+    Span easedAt{};
     Verdict wanted = Verdict::none, standing = Verdict::none;
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
@@ -294,16 +295,19 @@
     // and machines lost. Could harm by slowing a stage that is short of a machine for good: it only sends
     // less.
     double trialShare() const {
-        double ready = 0;
+        double ready = 0, earlierOnes = 0;
         std::size_t places = 0;
         for (const auto &[id, s] : servers) {
             if (!s.listed()) continue;
             const bool isTrial = s.entry.build == news.build;
             if (isTrial) ready += warmth(s);
+            else earlierOnes += warmth(s);
             places += v.replacedInPlace || !isTrial;
         }
         const double machines = std::max(1.0, stageShare() * static_cast<double>(places));
-        return suspicion == Suspicion::paused ? 0 : kHashShare * news.cap * std::min(1.0, ready / machines);
+        if (suspicion == Suspicion::paused) return 0;
+        const double share = kHashShare * news.cap * std::min(1.0, ready / machines);
+        return eased ? std::min(share, ready / std::max(1.0, ready + earlierOnes)) : share;
     }
     double stageShare() const {
         const auto step = static_cast<std::size_t>(news.step);
@@ -653,7 +657,7 @@
         // the pairs and of the stretch without failures. The windows leave out all that it answers.
         if (isTrial && failed && (!t.cold || end.how == Outcome::error)) lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
-        if (t.cold || t.build > news.build) return;
+        if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
         Arm &arm = isTrial ? trial : earlier;
         arm.add(rq.in.route, t.server->entry.id, failed, end.how == Outcome::error, ratio);
         if (end.how == Outcome::ok) {
@@ -725,7 +729,7 @@
         if (!changed) return;
         newsBegan = began;
         if (fresh) {
-            bad = false, wrong = 0;
+            bad = eased = false, wrong = 0;
             lastEarlier = Arm{};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
@@ -851,9 +855,11 @@
         const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
         if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast &&
             base.count() >= kWindowLeast) {
-            bool sick = tooMany(trial, base) && (tooMany(trial, base, true) || slowOnMost(base));
-            const char *reason = "failures";
-            if (!sick && slower(base)) sick = true, reason = "slow";
+            const bool errors = tooMany(trial, base, true);
+            const bool slow = slower(base) || (tooMany(trial, base) && slowOnMost(base));
+            if (slow && !errors && !eased) return ease();
+            const bool sick = errors || slow;
+            const char *reason = errors ? "failures" : "slow";
             if (sick) healthy = 0, ++unhealthy;
             else unhealthy = 0, ++healthy;
             if (unhealthy >= kUnhealthyStreak)
@@ -879,6 +885,17 @@
         else if (quiet) wanted = Verdict::on, why = "quiet", voteDue = now;
     }
 
+    // Exception before slowness or time-outs are blamed on the build: its share is brought down to an even
+    // one a machine, what was sent before is left out, and only then do windows count. Guards against trial
+    // machines that bear more than the others at high load. Could harm by a second or two of a slow build.
+    void ease() {
+        eased = true, easedAt = now;
+        log("eased: trial slow, even share first");
+        closeWindow();
+        trial = earlier = Arm{};
+        windowBegan = now + kWindowSpan;
+    }
+
     // A closed window's counts are dropped; the latencies stay, so that the p95 has its least count.
     void closeWindow() {
         if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
