A window that cannot tell slowness no longer ends a streak; stand-in figures; docs

Last counted figures of the earlier build stand in where it is no longer listed, for the platform's counts too, and pairs add up over the stages.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -6,7 +6,6 @@
 // judge() compares the trial build with the earlier one, window by window, and sets the vote.
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <deckcart/policy.hpp>
 #include <deque>
 #include <random>
@@ -61,7 +60,7 @@
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
-constexpr int kPairsBack = 4;    // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kPairsBack = 3;    // failed on trial, then done on the other build: that many cast 'back'
 constexpr int kWrongBack = 2;    // reports of wrong answers that cast 'back' (one may be false)
 constexpr Span kMootRetry = 1s;  // pause after a vote on a stage that has passed or not yet run long enough
 constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
@@ -131,16 +130,13 @@
     std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
-    double count() const {
+    double sum(double Cell::*what) const {
         double n = 0;
-        for (const auto &[r, c] : routes) n += c.n;
-        return n;
-    }
-    double fails() const {
-        double n = 0;
-        for (const auto &[r, c] : routes) n += c.fails;
+        for (const auto &[r, c] : routes) n += c.*what;
         return n;
     }
+    double count() const { return sum(&Cell::n); }
+    double fails() const { return sum(&Cell::fails); }
     void add(int route, const ServerId &server, bool failed, bool error, double ratio) {
         for (Cell *c : {&routes[route], &servers[server]})
             c->n += 1, c->fails += failed, c->errors += error, c->slow += failed ? 0 : ratio;
@@ -222,8 +218,8 @@
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
     bool votePending = false;
-    std::string why;
-    Arm tallyTrial, tallyEarlier;
+    std::string why, reason;
+    Arm tallyTrial, tallyEarlier, lastTally;
     int tallySick = 0, ownErrors = 0;
     std::deque<std::pair<Span, double>> pulse;  // the earlier build's slowness within kPulseSpan
     enum class Suspicion { none, paused, resumed } suspicion = Suspicion::none;
@@ -274,8 +270,7 @@
     }
     BuildNo oldestListed() const {
         BuildNo least = 1 << 30;
-        for (const auto &[id, s] : servers)
-            if (s.listed()) least = std::min(least, s.entry.build);
+        for (const auto &[id, s] : servers) least = s.listed() ? std::min(least, s.entry.build) : least;
         return least;
     }
     // The newest listed build that is not on trial; 0 if none.
@@ -507,11 +502,8 @@
     }
 
     // ---- events ----
-    void on(const Started &) {}
-    void on(const Stopped &) {}
-    void on(const AnswerBegan &) {}
-    void on(const ProbeEnded &) {}
-    void on(const PeerNote &) {}
+    template <class Other> void on(const Other &) {
+    }  // probes, notes and streams: nothing is decided on them yet
 
     void follow() {
         out.push_back(FollowList{true});
@@ -689,12 +681,14 @@
     // so a gateway goes by them only if it has met an error of the trial build itself. Covers bad builds at
     // small gateways. Could harm when a dying trial machine and a rare error meet.
     void judgeTally() {
-        if (tallyTrial.count() < kWindowLeast || tallyEarlier.count() < kWindowLeast) return;
-        if (ownErrors > 0 && tooMany(tallyTrial, tallyEarlier)) ++tallySick;
-        else tallySick = 0;
-        if (tallySick >= kUnhealthyStreak) convict("counts: " + figures(tallyTrial, tallyEarlier));
+        if (enough(tallyEarlier)) lastTally = tallyEarlier;
+        if (!enough(tallyTrial) || !enough(lastTally)) return;
+        tallySick = tooMany(tallyTrial, lastTally) ? tallySick + 1 : 0;
+        if (ownErrors > 0 && tallySick >= kUnhealthyStreak)
+            return convict("counts: " + figures(tallyTrial, lastTally));
         tallyTrial = tallyEarlier = Arm{};
     }
+    static bool enough(const Arm &arm) { return arm.count() >= kWindowLeast; }
     static bool tooMany(const Arm &ours, const Arm &theirs, bool errorsOnly = false) {
         double lost = 0, other = 0;
         for (const auto &[r, c] : ours.routes) {
@@ -706,10 +700,9 @@
         return lost > other + kFailMargin * ours.count() && lost > kFailRatio * other;
     }
     static std::string figures(const Arm &ours, const Arm &theirs) {
-        char text[96];
-        std::snprintf(text, sizeof text, "trial %.0f of %.0f, earlier %.0f of %.0f", ours.fails(),
-                      ours.count(), theirs.fails(), theirs.count());
-        return text;
+        const auto text = [](double n) { return std::to_string(std::lround(n)); };
+        return "trial " + text(ours.fails()) + " of " + text(ours.count()) + ", earlier " +
+               text(theirs.fails()) + " of " + text(theirs.count());
     }
 
     void on(const StageNews &n) {
@@ -729,8 +722,8 @@
         if (!changed) return;
         newsBegan = began;
         if (fresh) {
-            bad = eased = false, wrong = 0;
-            lastEarlier = Arm{};
+            bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
+            lastEarlier = lastTally = Arm{};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
             for (auto &[key, build] : stays)
@@ -739,15 +732,13 @@
         closeWindow();
         trial = earlier = Arm{};
         healthy = unhealthy = 0;
-        pairsTrial = pairsEarlier = tallySick = ownErrors = 0;
+        tallySick = 0;
         tallyTrial = tallyEarlier = Arm{};
         lastTrialFailure = Span{0};
         wanted = bad ? Verdict::back : Verdict::none;
         standing = Verdict::none, voteDue = now, votePending = false;
-        char line[96];
-        std::snprintf(line, sizeof line, "stage build %d step %d phase %d cap %.3f", n.build, n.step,
-                      static_cast<int>(n.phase), n.cap);
-        log(line);
+        log("stage build " + std::to_string(n.build) + " step " + std::to_string(n.step) + " phase " +
+            std::to_string(static_cast<int>(n.phase)) + " cap " + std::to_string(n.cap));
     }
 
     // Whether the earlier build bears about all that the fleet gets.
@@ -766,10 +757,10 @@
     void suspect() {
         forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
-        std::vector<double> recentRatios;
-        for (const auto &[at, ratio] : pulse) recentRatios.push_back(ratio);
+        std::vector<double> ratios;
+        for (const auto &[at, ratio] : pulse) ratios.push_back(ratio);
         const double slow =
-            quantile(std::move(recentRatios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
+            quantile(std::move(ratios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
         if (slow <= kFleetSlow) slowSince = Span{0};
         else if (slowSince == Span{0}) slowSince = now;
         const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor;
@@ -803,8 +794,8 @@
     // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
     // load; and it must be slow on most of its machines. Guards against load, a neighbour or a pause on a
     // machine being taken for the build. Could harm on a slow build whose fleet was slow before it came.
-    bool slower(const Arm &base) {
-        if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return false;
+    std::optional<bool> slower(const Arm &base) {
+        if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return std::nullopt;
         // The latest of the trial's against the earlier build's of the same time, so that what slowed both a
         // while ago is not taken for the build that has fewer and so older answers.
         const Span since = (trial.slowness.end() - kSlowLeast)->first;
@@ -817,7 +808,7 @@
         const double p95 = quantile(std::move(ours), 0.95);
         const double unit = *std::min_element(usual.begin(), usual.end());
         for (const auto &from : {theirs, std::vector<double>(reference.begin(), reference.end())}) {
-            if (static_cast<int>(from.size()) < kSlowLeast) return false;
+            if (static_cast<int>(from.size()) < kSlowLeast) return std::nullopt;
             const double other = quantile(from, 0.95);
             if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
         }
@@ -840,9 +831,9 @@
         return std::nullopt;
     }
 
-    void convict(const std::string &reason) {
+    void convict(const std::string &grounds) {
         if (bad) return;
-        bad = true, why = reason;
+        bad = true, why = grounds;
         wanted = Verdict::back, voteDue = now;
     }
 
@@ -852,18 +843,18 @@
         if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
         judgeTally();
         if (bad) return;
-        const Arm &base = earlier.count() > 0 ? earlier : lastEarlier;
-        if (now - windowBegan >= kWindowSpan && trial.count() >= kWindowLeast &&
-            base.count() >= kWindowLeast) {
+        const Arm &base = enough(earlier) ? earlier : lastEarlier;
+        if (now - windowBegan >= kWindowSpan && enough(trial) && enough(base)) {
             const bool errors = tooMany(trial, base, true);
-            const bool slow = slower(base) || (tooMany(trial, base) && slowOnMost(base));
+            const auto late = slower(base);  // empty: too few latencies to tell
+            const bool slow = late.value_or(false) || (tooMany(trial, base) && slowOnMost(base));
             if (slow && !errors && !eased) return ease();
             const bool sick = errors || slow;
-            const char *reason = errors ? "failures" : "slow";
-            if (sick) healthy = 0, ++unhealthy;
-            else unhealthy = 0, ++healthy;
-            if (unhealthy >= kUnhealthyStreak)
-                return convict(std::string(reason) + ": " + figures(trial, base));
+            if (sick) healthy = 0, ++unhealthy, reason = errors ? "failures" : "slow";
+            else ++healthy;
+            // A window that cannot tell slowness does not end a streak of slow ones.
+            if (!sick && (late || reason != "slow")) unhealthy = 0;
+            if (unhealthy >= kUnhealthyStreak) return convict(reason + ": " + figures(trial, base));
             if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
             closeWindow();
         }
@@ -871,9 +862,7 @@
         suspect();
         if (bad) return;
         if (v.gate == Gate::clock) {
-            const Verdict w = unhealthy > 0                            ? Verdict::hold
-                              : healthy > 0 && wanted == Verdict::hold ? Verdict::none
-                                                                       : wanted;
+            const Verdict w = unhealthy > 0 ? Verdict::hold : healthy > 0 ? Verdict::none : wanted;
             if (w != wanted) wanted = w, voteDue = now;
             return;
         }
@@ -898,7 +887,7 @@
 
     // A closed window's counts are dropped; the latencies stay, so that the p95 has its least count.
     void closeWindow() {
-        if (earlier.count() >= kWindowLeast) lastEarlier = earlier;
+        if (enough(earlier)) lastEarlier = earlier;
         for (Arm *arm : {&trial, &earlier}) {
             arm->routes.clear();
             for (auto &[id, c] : arm->servers) c.n /= 2, c.fails /= 2, c.errors /= 2, c.slow /= 2;
@@ -936,10 +925,7 @@
         perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
         fleet = std::max(1.0, quantile(slow, 0.5));
         for (auto &[id, s] : servers) forget(s.coldSends, now - v.overloadFor);
-        if (v.listMustBeAsked && now >= askAgainAt) {
-            if (!following) follow();
-            else askAgainAt = now + kWindowSpan;
-        }
+        if (v.listMustBeAsked && !following && now >= askAgainAt) follow();
         for (auto it = reqs.begin(); it != reqs.end();) {
             const auto here = it++;
             Req &rq = here->second;
