--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -52,10 +52,10 @@
 constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
 constexpr double kMostAside =
     0.4;  // part of a build's servers put aside at most: beyond it is no machine's trouble
-constexpr double kSilent = 4;      // times the usual latency, fleet's slowness included, that tell of silence
-constexpr double kShedFrom = 0.5;  // expected latency over the objective from which reqs are shed, evenly up
-constexpr double kShedSpan = 0.5;  // over this much more; half a mean's head-room keeps most answers in time
-constexpr Span kPaceSpan = 1s;     // answers of this long give the pace: some latencies, not a surge's length
+constexpr double kSilent = 4;  // times the usual latency, fleet's slowness included, that tell of silence
+constexpr double kShedFrom = 0.45;  // expected latency over the objective from which reqs are shed, evenly up
+constexpr double kShedSpan = 0.5;   // over this much more; half a mean's head-room keeps most answers in time
+constexpr Span kPaceSpan = 1s;  // answers of this long give the pace: some latencies, not a surge's length
 constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
@@ -438,7 +438,9 @@
     // second: the pace is then taken from the usual latencies, and only a jam of several reqs sheds.
     bool tooLate(const Req &rq) {
         const double expected = usualOf(rq) * pressure() / secs(route(rq).latencyObjective);
-        const double from = overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom;
+        // A pace of n answers is known to one part in the root of n: few answers must not shed by chance.
+        const double doubt = 1 + 2 / std::sqrt(std::max(1.0, static_cast<double>(ends.size())));
+        const double from = doubt * (overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom);
         return expected > from && chance() < (expected - from) / kShedSpan;
     }
     // How many times the usual it takes to answer what is under way (Little's law); silent servers left out.
