Even share for the trial build while the fleet is full, as our shedding shows

Cause: in a full fleet 0.7 of the cap jams the trial's few, partly cold machines before any window closes; good builds went back as slow. Time-outs are blamed only where most trial machines have them.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,9 +39,10 @@
 constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
 constexpr Span kPauseMost = 4s;          // a pause that has not helped by now clears the build
 constexpr Span kResumeMost = 6s;         // nor is it blamed if the slowness is not back by now
-constexpr double kHelped = 0.4;      // part of the excess that is left when a pause has helped: most has gone
-constexpr Span kClearFor = 8s;       // once cleared, no new pause for this long
-constexpr Span kQuiet = 5s;          // the design's: a stage this long free of trial failures casts 'on'
+constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
+constexpr Span kClearFor = 8s;   // once cleared, no new pause for this long
+constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
+constexpr Span kQuiet = 5s;      // the design's: a stage this long free of trial failures casts 'on'
 constexpr Span kPatience = 2500ms;   // 'on' 2 s after the stage's clock has started; half more as we guess it
 constexpr Span kClockLag = 1s;       // the clock starts about this long after the last machine runs
 constexpr Span kMachinesLate = 8s;   // the clock starts by then even if machines are missing
@@ -142,11 +143,12 @@
         for (Cell *c : {&routes[route], &servers[server]})
             c->n += 1, c->fails += failed, c->errors += error, c->slow += failed ? 0 : ratio;
     }
-    // The mean slowness of the lower median server, of those with some answers; 0 if there is none.
-    double commonSlowness() const {
+    // The lower median server's mean slowness, or share of failures, of those with some answers.
+    double common(bool failures) const {
         std::vector<double> means;
         for (const auto &[id, c] : servers)
-            if (c.n - c.fails >= 5) means.push_back(c.slow / (c.n - c.fails));
+            if (failures ? c.n >= 4 : c.n - c.fails >= 4)
+                means.push_back(failures ? c.fails / c.n : c.slow / (c.n - c.fails));
         if (means.empty()) return 0;
         std::sort(means.begin(), means.end());
         return means[(means.size() - 1) / 2];
@@ -214,7 +216,7 @@
     int pairsTrial = 0, pairsEarlier = 0;
     int wrong = 0;
     bool bad = false, eased = false;
-    Span easedAt{};
+    Span easedAt{}, shedAt{};  // shedAt: when a req was last shed for want of pace
     Verdict wanted = Verdict::none, standing = Verdict::none;
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
@@ -303,7 +305,10 @@
         const double machines = std::max(1.0, stageShare() * static_cast<double>(places));
         if (suspicion == Suspicion::paused) return 0;
         const double share = kHashShare * news.cap * std::min(1.0, ready / machines);
-        return eased ? std::min(share, ready / std::max(1.0, ready + earlierOnes)) : share;
+        // At once where this gateway has shed of late: the fleet is full, and there is no room for more a
+        // machine.
+        const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
+        return eased || full ? std::min(share, ready / std::max(1.0, ready + earlierOnes)) : share;
     }
     double stageShare() const {
         const auto step = static_cast<std::size_t>(news.step);
@@ -442,7 +447,9 @@
         // A pace of n answers is known to one part in the root of n: few answers must not shed by chance.
         const double doubt = 1 + 2 / std::sqrt(std::max(1.0, static_cast<double>(ends.size())));
         const double from = doubt * (overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom);
-        return expected > from && chance() < (expected - from) / kShedSpan;
+        if (expected <= from || chance() >= (expected - from) / kShedSpan) return false;
+        shedAt = now;
+        return true;
     }
     // How many times the usual it takes to answer what is under way (Little's law); silent servers left out.
     double pressure() {
@@ -789,9 +796,7 @@
     // Exception: time-outs and resets alone are no build's failures unless it is slow on most of its
     // machines. Guards against dying, silent or crowded machines. Could harm on a build that drops reqs
     // without a word.
-    bool slowOnMost(const Arm &base) const {
-        return trial.commonSlowness() > kOneServer * base.commonSlowness();
-    }
+    bool slowOnMost(const Arm &base) const { return trial.common(false) > kOneServer * base.common(false); }
 
     // The design's p95 comparison. Exception: at late stages the trial's machines bear more than the earlier
     // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
@@ -850,13 +855,14 @@
         if (now - windowBegan >= kWindowSpan && enough(trial) && enough(base)) {
             const bool errors = tooMany(trial, base, true);
             const auto late = slower(base);  // empty: too few latencies to tell
-            const bool slow = late.value_or(false) || (tooMany(trial, base) && slowOnMost(base));
+            const bool lost = tooMany(trial, base) && slowOnMost(base) && trial.common(true) > kFailMargin;
+            const bool slow = late.value_or(false) || lost;
             if (slow && !errors && !eased) return ease();
             const bool sick = errors || slow;
-            if (sick) healthy = 0, ++unhealthy, reason = errors ? "failures" : "slow";
+            if (sick) healthy = 0, ++unhealthy, reason = errors ? "failures" : lost ? "time-outs" : "slow";
             else ++healthy;
             // A window that cannot tell slowness does not end a streak of slow ones.
-            if (!sick && (late || reason != "slow")) unhealthy = 0;
+            if (!sick && (late || reason == "failures")) unhealthy = 0;
             if (unhealthy >= kUnhealthyStreak) return convict(reason + ": " + figures(trial, base));
             if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
             closeWindow();
