Blame no build for slowing both while successors in place are cold

Cause: where machines are replaced in place the fleet is short until the successors are warm; the earlier build slows in step with the stage and the pause seems to help. No pause or blame then, and no 'on' either while it is slow.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -771,9 +771,14 @@
         for (const auto &[at, ratio] : pulse) ratios.push_back(ratio);
         const double slow =
             quantile(std::move(ratios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
+        // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
+        const bool warming =
+            v.replacedInPlace && std::any_of(servers.begin(), servers.end(), [&](const auto &entry) {
+                return entry.second.listed() && entry.second.age(now) < v.warmWithin + kWindowSpan;
+            });
         if (slow <= kFleetSlow) slowSince = Span{0};
         else if (slowSince == Span{0}) slowSince = now;
-        const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor;
+        const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor && !warming;
         const auto turn = [&](Suspicion to, const char *words) {
             suspicion = to, suspectedAt = now, slowSince = Span{0};
             log(words);
