Take the pause's reference from before the trial; weigh slowness by its answers

Cause: the reference drifted with a build that slows the fleet from its first stage, and at small gateways a median of 15 answers passed 1.4 by chance. Shorter code for the cold budget and the exposure count, same decisions.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -33,7 +33,8 @@
 constexpr int kUnhealthyStreak = 2;      // the design's
 constexpr double kOneServer = 1.6;       // a build is slow on most of its servers by this much, not on one
 constexpr std::size_t kReference = 200;  // latencies of the earlier build under full load that are kept
-constexpr double kFleetSlow = 1.4;  // times its full-load median that make the earlier build slow as well
+constexpr double kFleetSlow = 1.2;   // times its full-load median that make the earlier build slow as well
+constexpr double kPulseDoubt = 1.5;  // over the root of the answers: about one spread of such a median
 constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
 constexpr Span kPulseSpan = 1500ms;      // of this long at most: it must follow a pause of the trial build
 constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
@@ -317,7 +318,7 @@
     int step(BuildNo b) const { return told && b == news.build ? news.step : 0; }
 
     // ---- the rules: the one place that every send passes ----
-    bool passes(const Req &rq, const Server &s) {
+    bool passes(const Req &rq, Server &s) {
         const Route &rt = route(rq);
         // every req one timely answer
         if (rq.answered || now >= rq.in.notAfter) return false;
@@ -348,12 +349,15 @@
         return withinColdBudget(s);
     }
 
+    std::deque<Span> &triesAt(BuildNo build, int route) {
+        return trials.try_emplace(build, routesCounted()).first->second[counted(route)];
+    }
     // Counts tries over a tick more and accepted reqs over a tick less than the span: it may end anywhere.
     bool withinCap(BuildNo build, int route) {
         const double share = cap(build);
         if (share <= 0) return false;
         const std::size_t c = counted(route);
-        auto &tries = trials.try_emplace(build, routesCounted()).first->second[c];
+        auto &tries = triesAt(build, route);
         forget(tries, now - v.exposureSpan - kTick);
         forget(taken[c], now - v.exposureSpan + kTick);
         return static_cast<double>(tries.size()) + 1 <=
@@ -366,12 +370,11 @@
     // first req is left to chance, so that many small gateways do not all send theirs at once. Covers new
     // builds, restarts and machines back from a crash. Could harm where a small stage is told more: the other
     // build gets it.
-    bool withinColdBudget(const Server &s) const {
+    bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
         if (age >= v.warmWithin + kWindowSpan) return true;
-        const auto from = std::find_if(s.coldSends.begin(), s.coldSends.end(),
-                                       [&](Span at) { return at > now - v.overloadFor; });
-        const double sent = static_cast<double>(s.coldSends.end() - from);
+        forget(s.coldSends, now - v.overloadFor);
+        const double sent = static_cast<double>(s.coldSends.size());  // those of the span
         const double run = secs(std::clamp(age, Span{0}, v.overloadFor)) / secs(v.overloadFor);
         return sent + 1 <= s.coldStart + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
     }
@@ -481,10 +484,7 @@
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
         if (s.age(now) < v.warmWithin + kWindowSpan) s.coldSends.push_back(now);
-        if (onTrial(s.entry.build))
-            trials.try_emplace(s.entry.build, routesCounted())
-                .first->second[counted(rq.in.route)]
-                .push_back(now);
+        if (onTrial(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
 
@@ -539,13 +539,12 @@
     }
 
     void on(const ReqArrived &in) {
-        auto &rq = reqs.try_emplace(in.req, Req{in, now, {}}).first->second;
+        const auto it = reqs.try_emplace(in.req, Req{in, now, {}}).first;
         taken[counted(in.route)].push_back(now);
         recent.push_back({now, in.account});
         retryBudget = std::min(kRetryBurst, retryBudget + kRetryRate);
-        const auto it = reqs.find(in.req);
-        if (!dispatch(rq)) hold(it);
-        else if (rq.answered) drop(it);
+        if (!dispatch(it->second)) hold(it);
+        else if (it->second.answered) drop(it);
     }
 
     // A req that can go nowhere waits while an answer in time can still be had, and no longer.
@@ -668,7 +667,8 @@
             // A build that was released a while ago is the next one's earlier build.
             const bool current = isTrial ? !onTrial(t.build) && now - newsBegan > kSlowSpan : true;
             if (current) pulse.push_back({now, ratio});
-            if (current && fullLoad()) {
+            // Kept from before the trial if there were enough: the trial build may slow the others early.
+            if (current && fullLoad() && (!onTrial(news.build) || reference.size() < kReference / 2)) {
                 reference.push_back(ratio);
                 if (reference.size() > kReference) reference.pop_front();
             }
@@ -723,14 +723,12 @@
             else voteDue = now + (n.how == Outcome::moot ? kMootRetry : kVoteRetry);
         }
         if (n.how != Outcome::ok) return;
-        const Span began = now - n.since;
         if (told && (n.build < news.build)) return;
         const bool fresh = !told || n.build != news.build;
         const bool changed = fresh || n.step != news.step || n.phase != news.phase;
-        told = true;
-        news = n;
+        told = true, news = n;
         if (!changed) return;
-        newsBegan = began;
+        newsBegan = now - n.since;
         if (fresh) {
             bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
             lastEarlier = lastTally = Arm{};
@@ -776,7 +774,8 @@
             v.replacedInPlace && std::any_of(servers.begin(), servers.end(), [&](const auto &entry) {
                 return entry.second.listed() && entry.second.age(now) < v.warmWithin + kWindowSpan;
             });
-        if (slow <= kFleetSlow) slowSince = Span{0};
+        if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(static_cast<double>(pulse.size())))
+            slowSince = Span{0};
         else if (slowSince == Span{0}) slowSince = now;
         const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor && !warming;
         const auto turn = [&](Suspicion to, const char *words) {
@@ -894,7 +893,6 @@
     void ease() {
         eased = true, easedAt = now;
         log("eased: trial slow, even share first");
-        closeWindow();
         trial = earlier = Arm{};
         windowBegan = now + kWindowSpan;
     }
@@ -938,7 +936,6 @@
         const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
         perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
         fleet = std::max(1.0, quantile(slow, 0.5));
-        for (auto &[id, s] : servers) forget(s.coldSends, now - v.overloadFor);
         if (v.listMustBeAsked && !following && now >= askAgainAt) follow();
         for (auto it = reqs.begin(); it != reqs.end();) {
             const auto here = it++;
