--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -325,13 +325,11 @@
         if (static_cast<int>(rq.tries.size()) >= v.mostTries) return false;
         if (!v.mayCopy && rq.outstanding()) return false;
         // no effect twice
-        if (const Try *ran = rq.firstThatMayHaveRun()) {
-            if (rt.effect == Effect::nonRetriable) return false;
-            if (rt.effect == Effect::deduped) {
-                if (now > ran->sent + rt.repeatWindow - kTick) return false;
-                if (rt.group != Group::all && ran->zone != s.entry.zone) return false;
-                if (rt.group == Group::cell && ran->cell != s.entry.cell) return false;
-            }
+        if (!mayGoAgain(rq)) return false;
+        const Try *ran = rq.firstThatMayHaveRun();
+        if (ran && rt.effect == Effect::deduped) {
+            if (rt.group != Group::all && ran->zone != s.entry.zone) return false;
+            if (rt.group == Group::cell && ran->cell != s.entry.cell) return false;
         }
         // drains
         if (!s.listed()) return false;
@@ -386,7 +384,7 @@
     Server *pick(const Req &rq, BuildNo build, bool desperate) {
         std::vector<Server *> open;
         for (auto &[id, s] : servers) {
-            if (s.entry.build != build || !s.listed() || (!desperate && aside(s))) continue;
+            if (s.entry.build != build || (!desperate && aside(s))) continue;
             const bool tried =
                 std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.server == &s; });
             if (tried && !desperate) continue;
