--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -32,8 +32,6 @@
     Effect effect = Effect::retriable;
     Group group = Group::all;
     Span repeatWindow{};
-    double benefit = 1;
-    double lateBenefit = 0;
 };
 
 struct StartValues {
@@ -45,7 +43,6 @@
     // what is allowed
     bool mayCopy = false;
     bool mayCancel = false;
-    bool mayProbe = false;
     int mostTries = 1;
     Span longestRetryAfter{};
     bool retryAfterTold = false;
@@ -53,7 +50,6 @@
     Span askWithin{};
     double crossZoneFee = 0;
     // figures of the rules
-    Span drainGrace{};
     double coldFrom = 1;
     Span warmWithin{};
     double tipMultiple = 1;
@@ -70,8 +66,6 @@
     std::vector<double> stageShares;
     Span voteLife{};
     Span voteAnswerWithin{};
-    Span leastStage{};
-    double reportedWrongShare = 0;
 };
 
 struct ServerEntry {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -255,6 +255,8 @@
         if (age >= v.warmWithin || v.warmWithin <= Span{0}) return 1;
         return v.coldFrom + (1 - v.coldFrom) * std::max(0.0, secs(age) / secs(v.warmWithin));
     }
+    // Whether it may not be warm yet, with a margin for the news of its start.
+    bool cold(const Server &s) const { return s.age(now) < v.warmWithin + kWindowSpan; }
     double slowness(const Server &s) const {
         const double keep = std::exp(-secs(now - s.slownessAt) / kLatencyFade);
         double figure = 1 + (s.slowness - 1) * keep;
@@ -370,7 +372,7 @@
     // build gets it.
     bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
-        if (age >= v.warmWithin + kWindowSpan) return true;
+        if (!cold(s)) return true;
         forget(s.coldSends, now - v.overloadFor);
         const double sent = static_cast<double>(s.coldSends.size());  // those of the span
         const double run = secs(std::clamp(age, Span{0}, v.overloadFor)) / secs(v.overloadFor);
@@ -481,7 +483,7 @@
         if (!passes(rq, s)) return;
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
-        if (s.age(now) < v.warmWithin + kWindowSpan) s.coldSends.push_back(now);
+        if (cold(s)) s.coldSends.push_back(now);
         if (onTrial(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
@@ -770,7 +772,7 @@
         // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
         const bool warming =
             v.replacedInPlace && std::any_of(servers.begin(), servers.end(), [&](const auto &entry) {
-                return entry.second.listed() && entry.second.age(now) < v.warmWithin + kWindowSpan;
+                return entry.second.listed() && cold(entry.second);
             });
         if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(static_cast<double>(pulse.size())))
             slowSince = Span{0};
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -100,21 +100,17 @@
             route.group = word<Group>(grade, "Group",
                                       {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
         route.repeatWindow = maySpan(grade, "WindowS");
-        route.benefit = may<double>(grade, "Worth", 1);
-        route.lateBenefit = may<double>(grade, "LateWorth");
         v.routes.push_back(route);
     }
     for (const auto &realm : rows(from, "Realms")) v.accountShares.push_back(may<double>(realm, "Share"));
     v.mayCopy = may<bool>(limits, "MayDuplicate");
     v.mayCancel = may<bool>(limits, "Cancel");
-    v.mayProbe = may<bool>(limits, "Probes");
     v.mostTries = may<int>(limits, "MostTries", 1);
     v.longestRetryAfter = maySpan(limits, "MaxRetryAfterS");
     v.retryAfterTold = may<bool>(limits, "RetryAfter");
     v.listMustBeAsked = may<std::string>(from, "Discovery") == "subscribe";
     v.askWithin = maySpan(safety, "AskWithinS");
     v.crossZoneFee = may<double>(part(from, "Fees"), "CrossZone");
-    v.drainGrace = maySpan(safety, "DrainGraceS");
     v.coldFrom = may<double>(safety, "ColdFrom", 1);
     v.warmWithin = maySpan(safety, "WarmWithinS");
     v.tipMultiple = may<double>(safety, "TipMultiple", 1);
@@ -133,8 +129,6 @@
     v.stageShares = numbers(family, "Shares");
     v.voteLife = maySpan(family, "BallotTtlS");
     v.voteAnswerWithin = maySpan(family, "ApiTimeoutS");
-    v.leastStage = maySpan(family, "LeastStageS");
-    v.reportedWrongShare = may<double>(family, "ComplaintShare");
     return v;
 }
 
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -66,15 +66,15 @@
 
     World() {
         start.seed = 7, start.gateways = 3, start.mostTries = 4, start.mayCancel = true;
-        start.routes = {{span(0.8), Effect::retriable, Group::all, span(5), 1, 0},
-                        {span(1.2), Effect::deduped, Group::all, span(5), 3, 0},
-                        {span(1.2), Effect::nonRetriable, Group::all, span(5), 3, 0}};
+        start.routes = {{span(0.8), Effect::retriable, Group::all, span(5)},
+                        {span(1.2), Effect::deduped, Group::all, span(5)},
+                        {span(1.2), Effect::nonRetriable, Group::all, span(5)}};
         start.retryAfterTold = true, start.longestRetryAfter = span(1);
-        start.drainGrace = span(0.5), start.coldFrom = 0.4, start.warmWithin = span(4), start.tipMultiple = 2;
+        start.coldFrom = 0.4, start.warmWithin = span(4), start.tipMultiple = 2;
         start.overloadFor = span(3), start.gate = Gate::byCount, start.spareTries = 2,
         start.exposureSpan = span(4);
         start.exposureCaps = {0.2, 0.5, 1}, start.stageShares = {0.1, 0.5, 1}, start.voteLife = span(6);
-        start.voteAnswerWithin = span(0.8), start.leastStage = span(1.5);
+        start.voteAnswerWithin = span(0.8);
     }
 
     void give(const Event &event) {
