--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -18,6 +18,7 @@
 
 // ---- Tuned values, each with its reason ----
 constexpr Span kTick = 20ms;          // housekeeping: well under the shortest wait that it decides on
+constexpr Span kCountEvery = 100ms;   // servers are counted, builds judged: nothing they tell changes sooner
 constexpr double kHashShare = 0.7;    // the design's: first sends under this part of the cap
 constexpr Span kColdEvidence = 5s;    // the design's: outcomes from younger servers are dropped
 constexpr int kWindowLeast = 20;      // the design's least count of outcomes a build
@@ -189,6 +190,15 @@
     std::vector<Action> out;
 
     std::map<ServerId, Server> servers;
+    std::map<BuildNo, std::vector<Server *>> live;  // by build, as last listed; in any order
+    // Of the live servers, at the last count: the stage's machines and places, and how warm they are.
+    struct {
+        double ready = 0, others = 0;  // sums of warmth, on the build told last and on the rest
+        double fresh = 0, places = 0;
+        Span lastStart{};
+        bool anyCold = false;
+    } count;
+    Span countDue{};
     bool following = false;
     Span askAgainAt{};
 
@@ -274,17 +284,12 @@
         if (!told) return b > oldestListed();
         return b > news.build || (b == news.build && news.phase != Phase::released);
     }
-    BuildNo oldestListed() const {
-        BuildNo least = 1 << 30;
-        for (const auto &[id, s] : servers) least = s.listed() ? std::min(least, s.entry.build) : least;
-        return least;
-    }
+    BuildNo oldestListed() const { return live.empty() ? 1 << 30 : live.begin()->first; }
     // The newest listed build that is not on trial; 0 if none.
     BuildNo baseBuild() const {
-        BuildNo most = 0;
-        for (const auto &[id, s] : servers)
-            if (s.listed() && !onTrial(s.entry.build)) most = std::max(most, s.entry.build);
-        return most;
+        const auto at =
+            std::find_if(live.rbegin(), live.rend(), [&](const auto &b) { return !onTrial(b.first); });
+        return at == live.rend() ? 0 : at->first;
     }
     double cap(BuildNo b) const {
         if (told && b == news.build) return news.cap;
@@ -296,22 +301,37 @@
     // and machines lost. Could harm by slowing a stage that is short of a machine for good: it only sends
     // less.
     double trialShare() const {
-        double ready = 0, earlierOnes = 0;
-        std::size_t places = 0;
-        for (const auto &[id, s] : servers) {
-            if (!s.listed()) continue;
-            const bool isTrial = s.entry.build == news.build;
-            if (isTrial) ready += warmth(s);
-            else earlierOnes += warmth(s);
-            places += v.replacedInPlace || !isTrial;
-        }
-        const double machines = std::max(1.0, stageShare() * static_cast<double>(places));
         if (suspicion == Suspicion::paused) return 0;
-        const double share = kHashShare * news.cap * std::min(1.0, ready / machines);
+        const double machines = std::max(1.0, stageShare() * count.places);
+        const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
         // At once where this gateway has shed of late: the fleet is full, and there is no room for more a
         // machine.
         const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
-        return eased || full ? std::min(share, ready / std::max(1.0, ready + earlierOnes)) : share;
+        return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
+                             : share;
+    }
+    void countServers() {
+        countDue = now + kCountEvery;
+        count = {};
+        std::vector<double> slow;
+        for (const auto &[build, list] : live)
+            for (const Server *s : list) {
+                const bool isNew = build == news.build;
+                (isNew ? count.ready : count.others) += warmth(*s);
+                if (isNew)
+                    ++count.fresh,
+                        count.lastStart = std::max(count.lastStart, s->entry.startedAt.value_or(Span{0}));
+                count.places += v.replacedInPlace || !isNew;
+                count.anyCold = count.anyCold || cold(*s);
+                if (s->age(now) >= kColdEvidence && !aside(*s)) slow.push_back(slowness(*s));
+            }
+        // Servers that have left since gave some of these answers: who is left did not bear them all.
+        forget(done, now - v.overloadFor);
+        std::set<const Server *> givers;
+        for (const auto &[at, server] : done) givers.insert(server);
+        const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
+        perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
+        fleet = std::max(1.0, quantile(std::move(slow), 0.5));
     }
     double stageShare() const {
         const auto step = static_cast<std::size_t>(news.step);
@@ -384,19 +404,18 @@
 
     // Inside a build: the lower of two random servers by (in-flight + 1) x decaying latency / weight.
     Server *pick(const Req &rq, BuildNo build, bool desperate) {
-        std::vector<Server *> open;
-        for (auto &[id, s] : servers) {
-            if (s.entry.build != build || (!desperate && aside(s))) continue;
+        Server *best = nullptr;
+        const auto at = live.find(build);
+        const std::size_t n = at == live.end() ? 0 : at->second.size();
+        for (std::size_t i = 0, found = 0; i < n && found < 2; ++i) {
+            std::swap(at->second[i], at->second[i + any(n - i)]);
+            Server &s = *at->second[i];
             const bool tried =
                 std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.server == &s; });
-            if (tried && !desperate) continue;
-            if (passes(rq, s)) open.push_back(&s);
+            if ((!desperate && (aside(s) || tried)) || !passes(rq, s)) continue;
+            if (++found == 1 || score(s) < score(*best)) best = &s;
         }
-        if (open.empty()) return nullptr;
-        const std::size_t a = any(open.size());
-        std::size_t b = open.size() > 1 ? any(open.size() - 1) : a;
-        if (open.size() > 1 && b >= a) ++b;
-        return score(*open[b]) < score(*open[a]) ? open[b] : open[a];
+        return best;
     }
     double score(const Server &s) const {
         const double far = s.entry.zone == v.zone ? 1 : 1 + 4 * v.crossZoneFee;
@@ -421,10 +440,8 @@
         if (base) order.push_back(base);
         if (!toTrial && told && news.phase != Phase::withdrawn) order.push_back(rev);
         // Older builds that are still listed, newest first.
-        std::set<BuildNo, std::greater<>> rest;
-        for (const auto &[id, s] : servers)
-            if (s.listed() && s.entry.build < base) rest.insert(s.entry.build);
-        order.insert(order.end(), rest.begin(), rest.end());
+        for (auto at = live.rbegin(); at != live.rend(); ++at)
+            if (at->first < base) order.push_back(at->first);
         return order;
     }
 
@@ -458,14 +475,9 @@
     double pressure() {
         forget(ends, now - kPaceSpan);
         double under = 0, work = 0;
-        for (const auto &[id, s] : servers) {
-            if (aside(s)) continue;
-            under += static_cast<double>(s.out.size());
-            for (const auto &[at, req] : s.out) {
-                const auto rq = reqs.find(req);
-                if (rq != reqs.end()) work += usualOf(rq->second);
-            }
-        }
+        for (const auto &[id, rq] : reqs)
+            for (const Try &t : rq.tries)
+                if (t.out && !aside(*t.server)) ++under, work += usualOf(rq);
         if (under < kFewUnderWay) return 1;
         const double pace = std::max(1.0, static_cast<double>(ends.size())) / secs(kPaceSpan);
         return under / pace / (work / under);
@@ -521,11 +533,8 @@
     }
     void on(const ListFailed &) { askAgainAt = now + kWindowSpan / 2, following = false; }
     void on(const ListTold &list) {
-        if (list.complete)
-            for (auto &[id, s] : servers)
-                if (std::none_of(list.entries.begin(), list.entries.end(),
-                                 [&](const auto &e) { return e.id == id; }))
-                    s.entry.readiness = Readiness::gone;
+        for (auto &[id, s] : servers)
+            if (list.complete) s.entry.readiness = Readiness::gone;
         for (const auto &e : list.entries) {
             Server &s = servers[e.id];
             if (s.entry.startedAt != e.startedAt || s.entry.build != e.build) {
@@ -536,6 +545,10 @@
             s.entry = e;
         }
         following = true;
+        live.clear();
+        for (auto &[id, s] : servers)
+            if (s.listed()) live[s.entry.build].push_back(&s);
+        countServers();
     }
 
     void on(const ReqArrived &in) {
@@ -601,8 +614,8 @@
     void unanswered(Server &s) {
         if (++s.unanswered < kEjectAfter || aside(s)) return;
         double gone = 1, all = 0;
-        for (const auto &[id, other] : servers)
-            if (other.listed() && other.entry.build == s.entry.build) ++all, gone += aside(other);
+        if (const auto at = live.find(s.entry.build); at != live.end())
+            for (const Server *other : at->second) ++all, gone += aside(*other);
         if (gone > std::max(1.0, kMostAside * all)) return;
         if (s.asideFor == Span{0}) log("aside " + s.entry.id + " unanswered");
         s.asideFor = std::clamp(s.asideFor * 2, kEjectFirst, kEjectMost);
@@ -729,6 +742,7 @@
         told = true, news = n;
         if (!changed) return;
         newsBegan = now - n.since;
+        countServers();
         if (fresh) {
             bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
             lastEarlier = lastTally = Arm{};
@@ -770,10 +784,7 @@
         const double slow =
             quantile(std::move(ratios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
         // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
-        const bool warming =
-            v.replacedInPlace && std::any_of(servers.begin(), servers.end(), [&](const auto &entry) {
-                return entry.second.listed() && cold(entry.second);
-            });
+        const bool warming = v.replacedInPlace && count.anyCold;
         if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(static_cast<double>(pulse.size())))
             slowSince = Span{0};
         else if (slowSince == Span{0}) slowSince = now;
@@ -829,16 +840,8 @@
 
     // When the clock of the stage has started, as far as the list tells; empty while machines are missing.
     std::optional<Span> clockStart() const {
-        std::size_t places = 0, fresh = 0;
-        Span last = newsBegan;
-        for (const auto &[id, s] : servers) {
-            if (!s.listed()) continue;
-            const bool isNew = s.entry.build == news.build;
-            if (isNew) ++fresh, last = std::max(last, s.entry.startedAt.value_or(Span{0}));
-            if (v.replacedInPlace || !isNew) ++places;
-        }
-        if (static_cast<double>(fresh) + 0.5 >= stageShare() * static_cast<double>(places))
-            return last + kClockLag;
+        if (count.fresh + 0.5 >= stageShare() * count.places)
+            return std::max(newsBegan, count.lastStart) + kClockLag;
         if (now - newsBegan > kMachinesLate) return newsBegan + kMachinesLate;
         return std::nullopt;
     }
@@ -850,6 +853,8 @@
     }
 
     void judge() {
+        if (now < countDue) return;
+        countServers();
         if (!told || bad || (news.phase != Phase::onTrial && news.phase != Phase::released)) return;
         if (wrong >= kWrongBack) return convict("wrong answers");
         if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
@@ -926,16 +931,6 @@
     void on(const TimerFired &) {
         timer();
         forget(recent, now - v.overloadFor);
-        forget(done, now - v.overloadFor);
-        std::vector<double> slow;
-        for (auto &[id, s] : servers)
-            if (s.listed() && s.age(now) >= kColdEvidence && !aside(s)) slow.push_back(slowness(s));
-        // Servers that have left since gave some of these answers: who is left did not bear them all.
-        std::set<const Server *> givers;
-        for (const auto &[at, server] : done) givers.insert(server);
-        const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
-        perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
-        fleet = std::max(1.0, quantile(slow, 0.5));
         if (v.listMustBeAsked && !following && now >= askAgainAt) follow();
         for (auto it = reqs.begin(); it != reqs.end();) {
             const auto here = it++;
