Where many votes are needed to go back, let each rest on few answers

Now, from 4 votes needed on, a vote may rest on the last vote life's pairs, reports and latencies; it lapses with its grounds. Helps also against failures of one route and wrong answers.

--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -66,6 +66,8 @@
     std::vector<double> stageShares;
     Span voteLife{};
     Span voteAnswerWithin{};
+    int votesToGoBack = 1;
+    double wrongReported = 0;  // part of the wrong answers that is reported
 };
 
 struct ServerEntry {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -26,8 +26,7 @@
 constexpr double kFailMargin = 0.05;  // the design's absolute tolerance for failures
 constexpr double kFailRatio = 2;      // the design's relative tolerance for failures
 constexpr int kSlowLeast = 50;        // the design's least count for the p95
-constexpr double kSlowRatio =
-    2;  // for the p95, not 1.5: at high load a build one tenth slower queues twice as long
+constexpr double kSlowRatio = 2;  // p95, not 1.5: at high load a build one tenth slower queues twice as long
 constexpr Span kSlowMargin = 20ms;       // the design's absolute tolerance for the p95
 constexpr Span kSlowSpan = 10s;          // latencies are kept this long to find the least count
 constexpr int kHealthyStreak = 3;        // the design's
@@ -54,8 +53,7 @@
 constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
 constexpr double kLatencyFade = 4;  // seconds until an unused server's figure has mostly faded to the usual
 constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
-constexpr double kMostAside =
-    0.4;  // part of a build's servers put aside at most: beyond it is no machine's trouble
+constexpr double kMostAside = 0.4;  // part of a build put aside at most: beyond it is no machine's trouble
 constexpr double kSilent = 4;  // times the usual latency, fleet's slowness included, that tell of silence
 constexpr double kShedFrom = 0.45;  // expected latency over the objective from which reqs are shed, evenly up
 constexpr double kShedSpan = 0.5;   // over this much more; half a mean's head-room keeps most answers in time
@@ -64,8 +62,13 @@
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
 constexpr Span kEjectMost = 8s;
-constexpr int kPairsBack = 3;    // failed on trial, then done on the other build: that many cast 'back'
-constexpr int kWrongBack = 2;    // reports of wrong answers that cast 'back' (one may be false)
+constexpr int kPairsBack = 3;         // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
+constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
+constexpr double kPooledSlow = 1.4;   // mean slowness over the earlier build's, beyond chance
+constexpr double kPooledDoubt = 2;    // standard errors that count as chance: one gateway in forty
+constexpr double kPooledLeast = 6;    // answers a build
+constexpr int kWrongBack = 2;         // reports of wrong answers that cast 'back' (one may be false)
 constexpr Span kMootRetry = 1s;  // pause after a vote on a stage that has passed or not yet run long enough
 constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
 
@@ -134,13 +137,11 @@
     std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
-    double sum(double Cell::*what) const {
+    double count() const {
         double n = 0;
-        for (const auto &[r, c] : routes) n += c.*what;
+        for (const auto &[r, c] : routes) n += c.n;
         return n;
     }
-    double count() const { return sum(&Cell::n); }
-    double fails() const { return sum(&Cell::fails); }
     void add(int route, const ServerId &server, bool failed, bool error, double ratio) {
         for (Cell *c : {&routes[route], &servers[server]})
             c->n += 1, c->fails += failed, c->errors += error, c->slow += failed ? 0 : ratio;
@@ -166,18 +167,37 @@
 
 double quantile(std::vector<double> values, double q) {
     if (values.empty()) return 0;
-    const auto at =
-        std::min(values.size() - 1, static_cast<std::size_t>(q * static_cast<double>(values.size())));
+    const auto at = std::min(values.size() - 1, std::size_t(q * double(values.size())));
     std::nth_element(values.begin(), values.begin() + at, values.end());
     return values[at];
 }
 
+std::vector<double> valuesSince(const std::deque<std::pair<Span, double>> &queue, Span since) {
+    std::vector<double> values;
+    for (const auto &[at, value] : queue)
+        if (at >= since) values.push_back(value);
+    return values;
+}
+
+// Whether some answers are slower than others by more than a factor and chance, in the mean of their logs.
+bool clearlySlower(const std::vector<double> &ours, const std::vector<double> &theirs) {
+    double n[2]{}, mean[2]{}, squares = 0;
+    for (const int k : {0, 1})
+        for (const double ratio : k ? theirs : ours) {
+            const double x = std::log(std::max(ratio, 0.01)), off = x - mean[k];
+            mean[k] += off / ++n[k], squares += off * (x - mean[k]);
+        }
+    if (n[0] < kPooledLeast || n[1] < kPooledLeast) return false;
+    const double error = std::sqrt(squares / (n[0] + n[1] - 2) * (1 / n[0] + 1 / n[1]));
+    return mean[0] - mean[1] > std::log(kPooledSlow) + kPooledDoubt * error;
+}
+
 // The same for every gateway, whatever the standard library hashes with.
 double place01(const std::string &text, std::uint64_t salt) {
     std::uint64_t h = 0xcbf29ce484222325u ^ (salt * 0x9e3779b97f4a7c15u);
     for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3u;
     h ^= h >> 31, h *= 0xbf58476d1ce4e5b9u, h ^= h >> 29;
-    return static_cast<double>(h >> 11) / 9007199254740992.0;
+    return double(h >> 11) / 9007199254740992.0;
 }
 
 }  // namespace
@@ -224,10 +244,10 @@
     Span windowBegan{};
     int healthy = 0, unhealthy = 0;
     Span lastTrialFailure{};
-    int pairsTrial = 0, pairsEarlier = 0;
-    int wrong = 0;
+    int pairsTrial = 0, pairsEarlier = 0, wrong = 0;
+    std::deque<std::pair<Span, double>> met;  // trial tries of the last vote life; over 0: as many bad ones
     bool bad = false, eased = false;
-    Span easedAt{}, shedAt{};  // shedAt: when a req was last shed for want of pace
+    Span easedAt{}, shedAt{}, pooledUntil{};  // shedAt: when a req was last shed for want of pace
     Verdict wanted = Verdict::none, standing = Verdict::none;
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
@@ -251,13 +271,13 @@
 
     // ---- small helpers ----
     std::size_t routesCounted() const { return v.exposurePerRoute ? v.routes.size() : 1; }
-    std::size_t counted(int route) const { return v.exposurePerRoute ? static_cast<std::size_t>(route) : 0; }
-    const Route &route(const Req &rq) const { return v.routes.at(static_cast<std::size_t>(rq.in.route)); }
+    std::size_t counted(int route) const { return v.exposurePerRoute ? std::size_t(route) : 0; }
+    const Route &route(const Req &rq) const { return v.routes.at(std::size_t(rq.in.route)); }
     void log(const std::string &words) { out.push_back(LogLine{words}); }
     void timer() { out.push_back(SetTimer{kTick, 0}); }
-    double usualOf(const Req &rq) const { return usual[static_cast<std::size_t>(rq.in.route)]; }
-    double chance() { return static_cast<double>(rng()) / 4294967296.0; }
-    std::size_t any(std::size_t n) { return static_cast<std::size_t>(rng() % n); }
+    double usualOf(const Req &rq) const { return usual[std::size_t(rq.in.route)]; }
+    double chance() { return double(rng()) / 4294967296.0; }
+    std::size_t any(std::size_t n) { return std::size_t(rng() % n); }
 
     // The part of its capacity that a server has by now, on the slowest path the settings allow.
     double warmth(const Server &s) const {
@@ -296,16 +316,14 @@
         return v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
     }
     // The part of the keys whose first sends go to the trial build: 0.7 of the cap. Exception: while machines
-    // of the stage are missing or cold, that part of it which runs by now, counted by warmth, so that the few
-    // that run do not get the whole stage's load and look like a bad build. Covers slow starts, late lists
-    // and machines lost. Could harm by slowing a stage that is short of a machine for good: it only sends
-    // less.
+    // of the stage are missing or cold, the part of it that runs, by warmth, so that the few do not get the
+    // whole load and look bad. Covers slow starts, late lists, lost machines. Harm: a stage short for good
+    // gets less.
     double trialShare() const {
         if (suspicion == Suspicion::paused) return 0;
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
-        // At once where this gateway has shed of late: the fleet is full, and there is no room for more a
-        // machine.
+        // At once where this gateway has shed of late: a full fleet has no room for more a machine.
         const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
@@ -318,9 +336,8 @@
             for (const Server *s : list) {
                 const bool isNew = build == news.build;
                 (isNew ? count.ready : count.others) += warmth(*s);
-                if (isNew)
-                    ++count.fresh,
-                        count.lastStart = std::max(count.lastStart, s->entry.startedAt.value_or(Span{0}));
+                count.fresh += isNew;
+                if (isNew) count.lastStart = std::max(count.lastStart, s->entry.startedAt.value_or(Span{0}));
                 count.places += v.replacedInPlace || !isNew;
                 count.anyCold = count.anyCold || cold(*s);
                 if (s->age(now) >= kColdEvidence && !aside(*s)) slow.push_back(slowness(*s));
@@ -330,11 +347,11 @@
         std::set<const Server *> givers;
         for (const auto &[at, server] : done) givers.insert(server);
         const auto bore = std::max({slow.size(), givers.size(), std::size_t{1}});
-        perServer = static_cast<double>(done.size()) / static_cast<double>(bore);
+        perServer = double(done.size()) / double(bore);
         fleet = std::max(1.0, quantile(std::move(slow), 0.5));
     }
     double stageShare() const {
-        const auto step = static_cast<std::size_t>(news.step);
+        const auto step = std::size_t(news.step);
         return step < v.stageShares.size() ? v.stageShares[step] : 1;
     }
     int step(BuildNo b) const { return told && b == news.build ? news.step : 0; }
@@ -344,7 +361,7 @@
         const Route &rt = route(rq);
         // every req one timely answer
         if (rq.answered || now >= rq.in.notAfter) return false;
-        if (static_cast<int>(rq.tries.size()) >= v.mostTries) return false;
+        if (int(rq.tries.size()) >= v.mostTries) return false;
         if (!v.mayCopy && rq.outstanding()) return false;
         // no effect twice
         if (!mayGoAgain(rq)) return false;
@@ -380,21 +397,19 @@
         auto &tries = triesAt(build, route);
         forget(tries, now - v.exposureSpan - kTick);
         forget(taken[c], now - v.exposureSpan + kTick);
-        return static_cast<double>(tries.size()) + 1 <=
-               v.spareTries + share * static_cast<double>(taken[c].size());
+        return double(tries.size()) + 1 <= v.spareTries + share * double(taken[c].size());
     }
 
     // Guards a cold server against all gateways together: over the stated span, and no longer than it has
-    // run, each gives it at most a part of the tip multiple, times its warmth, times what this gateway has
-    // had done by a warm server. Answers count, not arrivals, so a burst or a jam does not raise it. The
-    // first req is left to chance, so that many small gateways do not all send theirs at once. Covers new
-    // builds, restarts and machines back from a crash. Could harm where a small stage is told more: the other
-    // build gets it.
+    // run, each gives it at most a part of the tip multiple x its warmth x what a warm server has answered of
+    // this gateway's reqs; answers, so that no burst or jam raises it. The first req is left to chance, so
+    // that many small gateways do not all send theirs at once. Covers new builds, restarts, machines back
+    // from a crash. Harm: where a small stage is told more, the other build gets it.
     bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
         if (!cold(s)) return true;
         forget(s.coldSends, now - v.overloadFor);
-        const double sent = static_cast<double>(s.coldSends.size());  // those of the span
+        const double sent = double(s.coldSends.size());  // those of the span
         const double run = secs(std::clamp(age, Span{0}, v.overloadFor)) / secs(v.overloadFor);
         return sent + 1 <= s.coldStart + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
     }
@@ -420,7 +435,7 @@
     double score(const Server &s) const {
         const double far = s.entry.zone == v.zone ? 1 : 1 + 4 * v.crossZoneFee;
         const double weight = s.entry.weight > 0 ? s.entry.weight : 1;
-        return static_cast<double>(s.out.size() + 1) * slowness(s) * far / (weight * warmth(s));
+        return double(s.out.size() + 1) * slowness(s) * far / (weight * warmth(s));
     }
 
     // The builds in the order in which this req should try them.
@@ -431,7 +446,7 @@
         bool toTrial = false;
         if (open) {
             const std::string &key = rq.in.key.empty() ? std::to_string(rq.in.req) : rq.in.key;
-            toTrial = place01(key, static_cast<std::uint64_t>(rev)) < trialShare();
+            toTrial = place01(key, std::uint64_t(rev)) < trialShare();
             // A failed req's next try goes to the other build.
             if (!rq.tries.empty()) toTrial = onTrial(rq.tries.back().build) ? false : true;
         }
@@ -439,7 +454,6 @@
         if (toTrial) order.push_back(rev);
         if (base) order.push_back(base);
         if (!toTrial && told && news.phase != Phase::withdrawn) order.push_back(rev);
-        // Older builds that are still listed, newest first.
         for (auto at = live.rbegin(); at != live.rend(); ++at)
             if (at->first < base) order.push_back(at->first);
         return order;
@@ -459,13 +473,12 @@
     }
 
     // Sheds while the reqs under way could not be answered in time at the pace of the last second's answers,
-    // ever more the slower, so that what is taken is answered. An account's excess over its share goes first.
-    // Covers surges, overload, lost machines and shared slowdowns. Could harm where few answers come in a
-    // second: the pace is then taken from the usual latencies, and only a jam of several reqs sheds.
+    // ever more the slower; an account's excess over its share first. Covers surges, overload, lost machines,
+    // shared slowdowns. Harm: with few answers a second the pace is a guess, and only a jam of several sheds.
     bool tooLate(const Req &rq) {
         const double expected = usualOf(rq) * pressure() / secs(route(rq).latencyObjective);
         // A pace of n answers is known to one part in the root of n: few answers must not shed by chance.
-        const double doubt = 1 + 2 / std::sqrt(std::max(1.0, static_cast<double>(ends.size())));
+        const double doubt = 1 + 2 / std::sqrt(std::max(1.0, double(ends.size())));
         const double from = doubt * (overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom);
         if (expected <= from || chance() >= (expected - from) / kShedSpan) return false;
         shedAt = now;
@@ -479,16 +492,14 @@
             for (const Try &t : rq.tries)
                 if (t.out && !aside(*t.server)) ++under, work += usualOf(rq);
         if (under < kFewUnderWay) return 1;
-        const double pace = std::max(1.0, static_cast<double>(ends.size())) / secs(kPaceSpan);
+        const double pace = std::max(1.0, double(ends.size())) / secs(kPaceSpan);
         return under / pace / (work / under);
     }
     bool overShare(int account) const {
-        if (account < 0 || account >= static_cast<int>(v.accountShares.size()) || recent.empty())
-            return false;
+        if (account < 0 || account >= int(v.accountShares.size()) || recent.empty()) return false;
         const auto n =
             std::count_if(recent.begin(), recent.end(), [&](const auto &a) { return a.second == account; });
-        return static_cast<double>(n) > kOverShare * v.accountShares[static_cast<std::size_t>(account)] *
-                                            static_cast<double>(recent.size());
+        return double(n) > kOverShare * v.accountShares[std::size_t(account)] * double(recent.size());
     }
 
     void send(Req &rq, Server &s) {
@@ -502,7 +513,7 @@
 
     void callOff(const Req &rq) {
         for (std::size_t k = 0; v.mayCancel && k < rq.tries.size(); ++k)
-            if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, static_cast<int>(k)});
+            if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, int(k)});
     }
 
     // The final answer of a req that is given up: shed where that is true, errored else.
@@ -514,9 +525,8 @@
         const bool mayShed = rt.effect == Effect::retriable || !ran ||
                              (rt.effect == Effect::deduped && rt.group == Group::all);
         callOff(rq);
-        if (mayShed)
-            out.push_back(
-                Shed{rq.in.req, v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0}});
+        const Span back = v.retryAfterTold ? std::min<Span>(v.longestRetryAfter, 250ms) : Span{0};
+        if (mayShed) out.push_back(Shed{rq.in.req, back});
         else out.push_back(EndErrored{rq.in.req});
     }
     void drop(std::map<ReqId, Req>::iterator it) {
@@ -524,8 +534,7 @@
     }
 
     // ---- events ----
-    template <class Other> void on(const Other &) {
-    }  // probes, notes and streams: nothing is decided on them yet
+    template <class Other> void on(const Other &) {}  // probes, notes, streams: not decided on yet
 
     void follow() {
         out.push_back(FollowList{true});
@@ -565,7 +574,7 @@
         Req &rq = it->second;
         const Span latest =
             std::min(rq.arrived + route(rq).latencyObjective - span(usualOf(rq)), rq.in.notAfter - 2 * kTick);
-        if (now < latest && static_cast<int>(rq.tries.size()) < v.mostTries && mayGoAgain(rq)) return;
+        if (now < latest && int(rq.tries.size()) < v.mostTries && mayGoAgain(rq)) return;
         giveUp(rq);
         drop(it);
     }
@@ -586,9 +595,9 @@
 
     void on(const TryEnded &end) {
         const auto it = reqs.find(end.req);
-        if (it == reqs.end() || end.tryNo >= static_cast<int>(it->second.tries.size())) return;
+        if (it == reqs.end() || end.tryNo >= int(it->second.tries.size())) return;
         Req &rq = it->second;
-        Try &t = rq.tries[static_cast<std::size_t>(end.tryNo)];
+        Try &t = rq.tries[std::size_t(end.tryNo)];
         t.out = false, t.how = end.how;
         t.server->out.erase({t.sent, end.req});
         if (end.how == Outcome::ok) ends.push_back(now);
@@ -617,7 +626,6 @@
         if (const auto at = live.find(s.entry.build); at != live.end())
             for (const Server *other : at->second) ++all, gone += aside(*other);
         if (gone > std::max(1.0, kMostAside * all)) return;
-        if (s.asideFor == Span{0}) log("aside " + s.entry.id + " unanswered");
         s.asideFor = std::clamp(s.asideFor * 2, kEjectFirst, kEjectMost);
         s.asideUntil = now + s.asideFor;
     }
@@ -625,7 +633,7 @@
     // Reads how a try ended: the server's health and latency, the usual times, the evidence on the builds.
     void settle(Req &rq, const Try &t, const TryEnded &end) {
         Server &s = *t.server;
-        const auto r = static_cast<std::size_t>(rq.in.route);
+        const auto r = std::size_t(rq.in.route);
         const double took = secs(now - t.sent);
         if (end.how == Outcome::ok) {
             const double ratio = took / usual[r];
@@ -663,14 +671,14 @@
         if (end.how == Outcome::ok && rq.tries.size() > 1) {
             const Try &before = rq.tries[rq.tries.size() - 2];
             if (before.build != t.build && !before.out && before.how == Outcome::error) {
-                if (before.build == news.build) ++pairsTrial;
+                if (before.build == news.build) ++pairsTrial, met.push_back({now, 1});
                 else if (isTrial) ++pairsEarlier;
             }
         }
-        // A cold machine is slow, but it does not answer errors for that: only its latencies are left out of
-        // the pairs and of the stretch without failures. The windows leave out all that it answers.
+        // A cold machine is slow, but it does not answer errors for that: its errors end the quiet.
         if (isTrial && failed && (!t.cold || end.how == Outcome::error)) lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
+        if (isTrial) met.push_back({now, 0});
         if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
         Arm &arm = isTrial ? trial : earlier;
         arm.add(rq.in.route, t.server->entry.id, failed, end.how == Outcome::error, ratio);
@@ -690,7 +698,8 @@
 
     void on(const WrongReported &w) {
         const auto s = servers.find(w.server);
-        if (s != servers.end() && told && s->second.entry.build == news.build) ++wrong;
+        if (s != servers.end() && told && s->second.entry.build == news.build)
+            ++wrong, met.push_back({now, 1 / std::max(0.01, v.wrongReported)});
     }
     void on(const TallyTold &c) {
         if (!told || c.since > now - newsBegan || c.build > news.build) return;
@@ -700,15 +709,14 @@
     }
 
     // Exception where the platform counts tries: a gateway with too few outcomes for a window of its own
-    // takes the counts, which are the same for all, as windows. They hold refusals and dead machines as well,
-    // so a gateway goes by them only if it has met an error of the trial build itself. Covers bad builds at
-    // small gateways. Could harm when a dying trial machine and a rare error meet.
+    // takes the counts, the same for all, as windows. They hold refusals and dead machines too, so it must
+    // have met an error of the trial build itself. Covers bad builds at small gateways. Harm: a dying machine
+    // and a rare error.
     void judgeTally() {
         if (enough(tallyEarlier)) lastTally = tallyEarlier;
         if (!enough(tallyTrial) || !enough(lastTally)) return;
         tallySick = tooMany(tallyTrial, lastTally) ? tallySick + 1 : 0;
-        if (ownErrors > 0 && tallySick >= kUnhealthyStreak)
-            return convict("counts: " + figures(tallyTrial, lastTally));
+        if (ownErrors > 0 && tallySick >= kUnhealthyStreak) return convict("counts");
         tallyTrial = tallyEarlier = Arm{};
     }
     static bool enough(const Arm &arm) { return arm.count() >= kWindowLeast; }
@@ -722,12 +730,6 @@
         }
         return lost > other + kFailMargin * ours.count() && lost > kFailRatio * other;
     }
-    static std::string figures(const Arm &ours, const Arm &theirs) {
-        const auto text = [](double n) { return std::to_string(std::lround(n)); };
-        return "trial " + text(ours.fails()) + " of " + text(ours.count()) + ", earlier " +
-               text(theirs.fails()) + " of " + text(theirs.count());
-    }
-
     void on(const StageNews &n) {
         if (n.answersVote) {
             votePending = false;
@@ -745,22 +747,23 @@
         countServers();
         if (fresh) {
             bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
-            lastEarlier = lastTally = Arm{};
+            lastEarlier = lastTally = Arm{}, met.clear(), pooledUntil = Span{0};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
             for (auto &[key, build] : stays)
                 if (build >= n.build) build = 0;
         suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
         closeWindow();
-        trial = earlier = Arm{};
+        for (Arm *arm : {&trial, &earlier}) {  // the latest latencies stay, but for a new build
+            auto kept = fresh ? decltype(arm->slowness){} : std::move(arm->slowness);
+            *arm = Arm{}, arm->slowness = std::move(kept);
+        }
         healthy = unhealthy = 0;
         tallySick = 0;
         tallyTrial = tallyEarlier = Arm{};
         lastTrialFailure = Span{0};
         wanted = bad ? Verdict::back : Verdict::none;
         standing = Verdict::none, voteDue = now, votePending = false;
-        log("stage build " + std::to_string(n.build) + " step " + std::to_string(n.step) + " phase " +
-            std::to_string(static_cast<int>(n.phase)) + " cap " + std::to_string(n.cap));
     }
 
     // Whether the earlier build bears about all that the fleet gets.
@@ -770,23 +773,19 @@
     }
 
     // Exception for a build that slows the earlier one as well, in step with its traffic, which no comparison
-    // of the two can show: when the earlier build's median has left its full-load figure, this gateway stops
-    // first sends to the trial build. If that helps, it resumes; if the slowness then comes back, the build
-    // is blamed, and else it is cleared. All gateways see the slowness at about the same time, so they pause
-    // together without a word. Covers shared stores, caches and locks. Told from a shared slowdown, a burst
-    // or a long req by the pause, which does not cure those, and by the return. Could harm by delaying a good
-    // build for some seconds when a slowdown ends during the pause.
+    // shows: when the earlier build's median has left its full-load figure, first sends to the trial stop. If
+    // that helps, they resume; if the slowness then comes back, the build is blamed, else cleared. Gateways
+    // see it at about the same time, so they pause together. Covers shared stores, caches and locks; a shared
+    // slowdown, a burst or a long req is not cured by a pause, nor does it return. Harm: delays a good build
+    // for some seconds when a slowdown ends during the pause.
     void suspect() {
         forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
-        std::vector<double> ratios;
-        for (const auto &[at, ratio] : pulse) ratios.push_back(ratio);
         const double slow =
-            quantile(std::move(ratios), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
+            quantile(valuesSince(pulse, Span{0}), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
         // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
         const bool warming = v.replacedInPlace && count.anyCold;
-        if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(static_cast<double>(pulse.size())))
-            slowSince = Span{0};
+        if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(double(pulse.size()))) slowSince = Span{0};
         else if (slowSince == Span{0}) slowSince = now;
         const bool lasting = slowSince != Span{0} && now - slowSince >= kSlowFor && !warming;
         const auto turn = [&](Suspicion to, const char *words) {
@@ -797,7 +796,6 @@
             slowAtPause = slow;
             turn(Suspicion::paused, "pause: both builds slow");
         } else if (suspicion == Suspicion::paused) {
-            // judged on answers that came wholly after the pause began
             const bool helped = slow - 1 < kHelped * (slowAtPause - 1) && now - suspectedAt >= kPulseSpan;
             if (helped) turn(Suspicion::resumed, "resume: the pause has helped");
             else if (now - suspectedAt > kPauseMost)
@@ -809,29 +807,25 @@
     }
 
     // Exception: time-outs and resets alone are no build's failures unless it is slow on most of its
-    // machines. Guards against dying, silent or crowded machines. Could harm on a build that drops reqs
-    // without a word.
+    // machines: guards against dying, silent or crowded ones. Harm: a build that drops reqs without a word.
     bool slowOnMost(const Arm &base) const { return trial.common(false) > kOneServer * base.common(false); }
 
-    // The design's p95 comparison. Exception: at late stages the trial's machines bear more than the earlier
-    // ones beside them and queue more, so the trial must also be slower than the earlier build was under full
-    // load; and it must be slow on most of its machines. Guards against load, a neighbour or a pause on a
-    // machine being taken for the build. Could harm on a slow build whose fleet was slow before it came.
+    // The design's p95 comparison. Exception: at late stages the trial's machines bear more and queue more,
+    // so it must also be slower than the earlier build under full load, and slow on most of its machines.
+    // Guards against load, a neighbour or a pause taken for the build. Harm: a slow build in a fleet slow
+    // before it.
     std::optional<bool> slower(const Arm &base) {
-        if (static_cast<int>(trial.slowness.size()) < kSlowLeast) return std::nullopt;
-        // The latest of the trial's against the earlier build's of the same time, so that what slowed both a
-        // while ago is not taken for the build that has fewer and so older answers.
+        if (int(trial.slowness.size()) < kSlowLeast) return std::nullopt;
+        // Of the same time: what slowed both a while ago must not stay in the build with fewer, older
+        // answers.
         const Span since = (trial.slowness.end() - kSlowLeast)->first;
-        std::vector<double> ours, theirs;
-        for (const auto &[at, ratio] : trial.slowness)
-            if (at >= since) ours.push_back(ratio);
-        for (const auto &[at, ratio] : base.slowness)
-            if (at >= since || &base == &lastEarlier) theirs.push_back(ratio);
+        const auto ours = valuesSince(trial.slowness, since);
+        const auto theirs = valuesSince(base.slowness, &base == &lastEarlier ? Span{0} : since);
         trial.slowness.clear();  // the next window of a streak is judged on answers of its own
-        const double p95 = quantile(std::move(ours), 0.95);
+        const double p95 = quantile(ours, 0.95);
         const double unit = *std::min_element(usual.begin(), usual.end());
         for (const auto &from : {theirs, std::vector<double>(reference.begin(), reference.end())}) {
-            if (static_cast<int>(from.size()) < kSlowLeast) return std::nullopt;
+            if (int(from.size()) < kSlowLeast) return std::nullopt;
             const double other = quantile(from, 0.95);
             if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
         }
@@ -846,10 +840,28 @@
         return std::nullopt;
     }
 
+    // Exception where many votes are needed to go back: a gateway of hundreds has no window of its own in
+    // time, so its vote may rest on the little that it met in the last vote life; the votes are the least
+    // count. It is wrong at a few gateways in a hundred, below the share needed, and lapses with its grounds.
+    // Covers errors, wrong answers and slowness. Harm: where many votes are needed but of few of the
+    // gateways.
+    bool pooledDoubts() {
+        forget(met, now - v.voteLife);
+        double tries = 0, evil = 0;
+        for (const auto &[at, weight] : met) tries += weight == 0, evil += weight;
+        if (evil > 0 && evil >= kPooledFails * tries) return true;
+        const auto ours = valuesSince(trial.slowness, now - kSlowSpan);
+        const auto theirs = valuesSince(earlier.slowness, now - kSlowSpan);
+        return clearlySlower(ours, theirs) && clearlySlower(ours, {reference.begin(), reference.end()});
+    }
+
     void convict(const std::string &grounds) {
         if (bad) return;
-        bad = true, why = grounds;
-        wanted = Verdict::back, voteDue = now;
+        bad = true;
+        want(Verdict::back, grounds);
+    }
+    void want(Verdict verdict, const std::string &grounds) {
+        if (verdict != wanted) wanted = verdict, why = grounds, voteDue = now;
     }
 
     void judge() {
@@ -860,6 +872,9 @@
         if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
         judgeTally();
         if (bad) return;
+        if (v.votesToGoBack >= kPooledVotes && pooledDoubts()) pooledUntil = now + v.voteLife;
+        if (now < pooledUntil) return want(Verdict::back, "pooled doubts");
+        if (wanted == Verdict::back) want(Verdict::none, "doubts gone");
         const Arm &base = enough(earlier) ? earlier : lastEarlier;
         if (now - windowBegan >= kWindowSpan && enough(trial) && enough(base)) {
             const bool errors = tooMany(trial, base, true);
@@ -872,29 +887,26 @@
             else ++healthy;
             // A window that cannot tell slowness does not end a streak of slow ones.
             if (!sick && (late || reason == "failures")) unhealthy = 0;
-            if (unhealthy >= kUnhealthyStreak) return convict(reason + ": " + figures(trial, base));
-            if (sick && wanted == Verdict::on) wanted = Verdict::none, voteDue = now;
+            if (unhealthy >= kUnhealthyStreak) return convict(reason);
+            if (sick && wanted == Verdict::on) want(Verdict::none, reason);
             closeWindow();
         }
         if (news.phase != Phase::onTrial) return;
         suspect();
         if (bad) return;
-        if (v.gate == Gate::clock) {
-            const Verdict w = unhealthy > 0 ? Verdict::hold : healthy > 0 ? Verdict::none : wanted;
-            if (w != wanted) wanted = w, voteDue = now;
-            return;
-        }
+        if (v.gate == Gate::clock)
+            return want(unhealthy > 0 ? Verdict::hold : healthy > 0 ? Verdict::none : wanted, reason);
         const auto clock = clockStart();
         if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
         if (suspicion != Suspicion::none || (slowSince != Span{0} && now >= clearUntil)) return;
         const bool quiet = now - std::max(newsBegan, lastTrialFailure) >= kQuiet && tallySick == 0;
-        if (healthy >= kHealthyStreak) wanted = Verdict::on, why = "healthy", voteDue = now;
-        else if (quiet) wanted = Verdict::on, why = "quiet", voteDue = now;
+        if (healthy >= kHealthyStreak) want(Verdict::on, "healthy");
+        else if (quiet) want(Verdict::on, "quiet");
     }
 
-    // Exception before slowness or time-outs are blamed on the build: its share is brought down to an even
-    // one a machine, what was sent before is left out, and only then do windows count. Guards against trial
-    // machines that bear more than the others at high load. Could harm by a second or two of a slow build.
+    // Exception before slowness or time-outs are blamed on the build: its share is first brought down to an
+    // even one a machine, what was sent before left out. Guards against trial machines that bear more than
+    // the others at high load. Harm: a second or two of a slow build.
     void ease() {
         eased = true, easedAt = now;
         log("eased: trial slow, even share first");
@@ -921,8 +933,7 @@
         out.push_back(Vote{news.build, news.step, wanted});
         if (lastVote != wanted || standing != wanted) {
             static constexpr const char *words[] = {"none", "on", "hold", "back"};
-            log("vote " + std::string(words[static_cast<int>(wanted)]) + " build " +
-                std::to_string(news.build) + " step " + std::to_string(news.step) + " " + why);
+            log(std::string("vote ") + words[int(wanted)] + ": " + why);
         }
         lastVote = wanted, votePending = true, voteSent = now;
         voteDue = now + v.voteLife * 6 / 10;
@@ -944,10 +955,10 @@
     }
 
     // A try on a server that has been silent since is copied or called off, so that the req can go elsewhere.
-    // Covers hung and dying machines and cut links. Could harm on a server that works on one long req: its
-    // work is thrown away, so the wait is several times the usual at the fleet's present slowness.
+    // Covers hung and dying machines and cut links. Harm: a long req's work is thrown away, so the wait is
+    // several times the usual at the fleet's present slowness.
     void watch(Req &rq) {
-        const int last = static_cast<int>(rq.tries.size()) - 1;
+        const int last = int(rq.tries.size()) - 1;
         Try &t = rq.tries.back();
         if (!t.out || t.calledOff || !silent(*t.server, t) ||
             now - t.sent < span(kSilent * fleet * usualOf(rq)))
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -129,6 +129,8 @@
     v.stageShares = numbers(family, "Shares");
     v.voteLife = maySpan(family, "BallotTtlS");
     v.voteAnswerWithin = maySpan(family, "ApiTimeoutS");
+    v.votesToGoBack = may<int>(family, "VotesToRevert", 1);
+    v.wrongReported = may<double>(family, "ComplaintShare");
     return v;
 }
 
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -174,6 +174,7 @@
             start.listMustBeAsked = l.number("ask", 0) > 0, start.askWithin = span(10);
             start.routes[1].repeatWindow = span(l.number("window", 5));
             start.spareTries = l.number("spare", 2);
+            start.votesToGoBack = static_cast<int>(l.number("back", 1)), start.wrongReported = 0.5;
             if (l.text("gate") == "clock") start.gate = Gate::clock;
             give(Started{start});
         } else if (verb == "server") {
