Make a cold server's budget of under one req a chance instead of nothing

Cause: at hundreds of gateways each budget for a cold server is a part of one req, so nearly nobody sent it anything and the trial build's whole share went to its few warm servers, which jammed (refusals, time-outs) and looked bad.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -94,7 +94,7 @@
     Span asideUntil{};
     Span asideFor{};
     std::deque<Span> coldSends;
-    double coldStart = 0;  // what may be sent before any capacity has built up: a part of one req
+    double coldChance = 0;  // rounds the broken part of what may be sent while cold
 
     bool listed() const { return entry.readiness == Readiness::live; }
     Span age(Span now) const { return entry.startedAt ? now - *entry.startedAt : Span{1h}; }
@@ -402,16 +402,17 @@
 
     // Guards a cold server against all gateways together: over the stated span, and no longer than it has
     // run, each gives it at most a part of the tip multiple x its warmth x what a warm server has answered of
-    // this gateway's reqs; answers, so that no burst or jam raises it. The first req is left to chance, so
-    // that many small gateways do not all send theirs at once. Covers new builds, restarts, machines back
-    // from a crash. Harm: where a small stage is told more, the other build gets it.
+    // this gateway's reqs; answers, so that no burst or jam raises it. The broken part of a req is a chance
+    // drawn once a start, so that hundreds of gateways with a tenth of a req each send it together and the
+    // few warm servers of a build do not jam. Covers new builds, restarts, crashes. Harm: a small stage told
+    // more gets less.
     bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
         if (!cold(s)) return true;
         forget(s.coldSends, now - v.overloadFor);
         const double sent = double(s.coldSends.size());  // those of the span
         const double run = secs(std::clamp(age, Span{0}, v.overloadFor)) / secs(v.overloadFor);
-        return sent + 1 <= s.coldStart + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
+        return sent + 1 <= s.coldChance + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
     }
 
     // ---- sending ----
@@ -549,7 +550,7 @@
             if (s.entry.startedAt != e.startedAt || s.entry.build != e.build) {
                 s.slowness = 1, s.unanswered = 0, s.asideUntil = s.asideFor = Span{0};
                 s.coldSends.clear();
-                s.coldStart = chance() * std::min(1.0, 3.0 / v.gateways);
+                s.coldChance = chance();
             }
             s.entry = e;
         }
