--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -16,61 +16,50 @@
 
 using namespace std::chrono_literals;
 
+// The design's values: first sends under this part of the cap, least counts for a window and for its p95,
+// tolerances, streaks, the cold exclusion and the stretch without failures that casts 'on'.
+constexpr double kHashShare = 0.7, kFailMargin = 0.05, kFailRatio = 2;
+constexpr int kWindowLeast = 20, kSlowLeast = 50, kHealthyStreak = 3, kUnhealthyStreak = 2;
+constexpr Span kWindowSpan = 1s, kSlowMargin = 20ms, kColdEvidence = 5s, kQuiet = 5s;
 // ---- Tuned values, each with its reason ----
-constexpr Span kTick = 20ms;          // housekeeping: well under the shortest wait that it decides on
-constexpr Span kCountEvery = 100ms;   // servers are counted, builds judged: nothing they tell changes sooner
-constexpr double kHashShare = 0.7;    // the design's: first sends under this part of the cap
-constexpr Span kColdEvidence = 5s;    // the design's: outcomes from younger servers are dropped
-constexpr int kWindowLeast = 20;      // the design's least count of outcomes a build
-constexpr Span kWindowSpan = 1s;      // the design's least length of a window
-constexpr double kFailMargin = 0.05;  // the design's absolute tolerance for failures
-constexpr double kFailRatio = 2;      // the design's relative tolerance for failures
-constexpr int kSlowLeast = 50;        // the design's least count for the p95
 constexpr double kSlowRatio = 2;  // p95, not 1.5: at high load a build one tenth slower queues twice as long
-constexpr Span kSlowMargin = 20ms;       // the design's absolute tolerance for the p95
-constexpr Span kSlowSpan = 10s;          // latencies are kept this long to find the least count
-constexpr int kHealthyStreak = 3;        // the design's
-constexpr int kUnhealthyStreak = 2;      // the design's
-constexpr double kOneServer = 1.6;       // a build is slow on most of its servers by this much, not on one
+constexpr Span kTick = 20ms;      // housekeeping: well under the shortest wait that it decides on
+constexpr Span kCountEvery = 100ms;  // servers are counted, builds judged: nothing they tell changes sooner
+constexpr Span kSlowSpan = 10s;      // latencies are kept this long to find the least count
+constexpr double kOneServer = 1.6;   // a build is slow on most of its servers by this much, not on one
 constexpr std::size_t kReference = 200;  // latencies of the earlier build under full load that are kept
 constexpr double kFleetSlow = 1.2;   // times its full-load median that make the earlier build slow as well
 constexpr double kPulseDoubt = 1.5;  // over the root of the answers: about one spread of such a median
 constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
 constexpr Span kPulseSpan = 1500ms;      // of this long at most: it must follow a pause of the trial build
 constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
-constexpr Span kPauseMost = 4s;          // a pause that has not helped by now clears the build
-constexpr Span kResumeMost = 6s;         // nor is it blamed if the slowness is not back by now
-constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
-constexpr Span kClearFor = 8s;   // once cleared, no new pause for this long
-constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
-constexpr Span kQuiet = 5s;      // the design's: a stage this long free of trial failures casts 'on'
-constexpr Span kPatience = 2500ms;   // 'on' 2 s after the stage's clock has started; half more as we guess it
-constexpr Span kClockLag = 1s;       // the clock starts about this long after the last machine runs
-constexpr Span kMachinesLate = 8s;   // the clock starts by then even if machines are missing
-constexpr double kColdMargin = 0.5;  // part of the tip multiple that is used: unequal gateways add up
-constexpr double kRetryRate = 0.2;   // further tries a req on average: more would feed a jam
-constexpr double kRetryBurst = 10;   // further tries saved up for a sudden failure
+constexpr Span kPauseMost = 4s,
+               kResumeMost = 6s;  // by then a pause that has not helped, or no return, clears
+constexpr double kHelped = 0.4;   // part of the excess that is left when a pause has helped: most has gone
+constexpr Span kClearFor = 8s;    // once cleared, no new pause for this long
+constexpr Span kFullFor = 5s;     // the fleet counts as full for this long after a shed: some jams and pauses
+constexpr Span kPatience = 2500ms;  // 'on' 2 s after the stage's clock has started; half more as we guess it
+constexpr Span kClockLag = 1s,
+               kMachinesLate = 8s;     // a stage's clock: after the last machine runs; at the latest
+constexpr double kColdMargin = 0.5;    // part of the tip multiple that is used: unequal gateways add up
+constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
+constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
 constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
 constexpr double kLatencyFade = 4;  // seconds until an unused server's figure has mostly faded to the usual
 constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
 constexpr double kMostAside = 0.4;  // part of a build put aside at most: beyond it is no machine's trouble
 constexpr double kSilent = 4;  // times the usual latency, fleet's slowness included, that tell of silence
-constexpr double kShedFrom = 0.45;  // expected latency over the objective from which reqs are shed, evenly up
-constexpr double kShedSpan = 0.5;   // over this much more; half a mean's head-room keeps most answers in time
+constexpr double kShedFrom = 0.45, kShedSpan = 0.5;  // of the objective: half a mean's head-room, evenly more
 constexpr Span kPaceSpan = 1s;  // answers of this long give the pace: some latencies, not a surge's length
 constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
-constexpr Span kEjectFirst = 1s;     // first time aside; doubles to kEjectMost
-constexpr Span kEjectMost = 8s;
+constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
 constexpr int kPairsBack = 3;         // failed on trial, then done on the other build: that many cast 'back'
 constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
-constexpr double kPooledSlow = 1.4;   // mean slowness over the earlier build's, beyond chance
-constexpr double kPooledDoubt = 2;    // standard errors that count as chance: one gateway in forty
-constexpr double kPooledLeast = 6;    // answers a build
-constexpr int kWrongBack = 2;         // reports of wrong answers that cast 'back' (one may be false)
-constexpr Span kMootRetry = 1s;  // pause after a vote on a stage that has passed or not yet run long enough
-constexpr Span kVoteRetry = 250ms;  // pause after a vote that was turned away
+constexpr double kPooledLeast = 6, kPooledSlow = 1.4, kPooledDoubt = 2;  // answers, factor, standard errors
+constexpr Span kMootRetry = 1s, kVoteRetry = 250ms;  // pauses: the stage has passed or is young; turned away
+constexpr int kWrongBack = 2;  // reports of wrong answers that cast 'back' (one may be false)
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
 Span span(double seconds) { return Span{std::llround(seconds * 1e6)}; }
@@ -119,15 +108,20 @@
     std::vector<Try> tries;
     bool answered = false;
 
-    bool outstanding() const {
-        return std::any_of(tries.begin(), tries.end(), [](const Try &t) { return t.out; });
-    }
+    bool outstanding() const { return std::ranges::any_of(tries, &Try::out); }
     const Try *firstThatMayHaveRun() const {
-        const auto it = std::find_if(tries.begin(), tries.end(), [](const Try &t) { return t.mayHaveRun(); });
+        const auto it = std::ranges::find_if(tries, &Try::mayHaveRun);
         return it == tries.end() ? nullptr : &*it;
     }
 };
 
+double quantile(std::vector<double> values, double q) {
+    if (values.empty()) return 0;
+    const auto at = std::min(values.size() - 1, std::size_t(q * double(values.size())));
+    std::nth_element(values.begin(), values.begin() + at, values.end());
+    return values[at];
+}
+
 // What one build did in a window, by route.
 struct Arm {
     struct Cell {
@@ -152,9 +146,7 @@
         for (const auto &[id, c] : servers)
             if (failures ? c.n >= 4 : c.n - c.fails >= 4)
                 means.push_back(failures ? c.fails / c.n : c.slow / (c.n - c.fails));
-        if (means.empty()) return 0;
-        std::sort(means.begin(), means.end());
-        return means[(means.size() - 1) / 2];
+        return quantile(std::move(means), 0.499);
     }
 };
 
@@ -165,13 +157,6 @@
     while (!queue.empty() && timeOf(queue.front()) <= until) queue.pop_front();
 }
 
-double quantile(std::vector<double> values, double q) {
-    if (values.empty()) return 0;
-    const auto at = std::min(values.size() - 1, std::size_t(q * double(values.size())));
-    std::nth_element(values.begin(), values.begin() + at, values.end());
-    return values[at];
-}
-
 std::vector<double> valuesSince(const std::deque<std::pair<Span, double>> &queue, Span since) {
     std::vector<double> values;
     for (const auto &[at, value] : queue)
@@ -246,12 +231,11 @@
     Span lastTrialFailure{};
     int pairsTrial = 0, pairsEarlier = 0, wrong = 0;
     std::deque<std::pair<Span, double>> met;  // trial tries of the last vote life; over 0: as many bad ones
-    bool bad = false, eased = false;
+    bool bad = false, eased = false, votePending = false;
     Span easedAt{}, shedAt{}, pooledUntil{};  // shedAt: when a req was last shed for want of pace
     Verdict wanted = Verdict::none, standing = Verdict::none;
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
-    bool votePending = false;
     std::string why, reason;
     Arm tallyTrial, tallyEarlier, lastTally;
     int tallySick = 0, ownErrors = 0;
@@ -269,7 +253,6 @@
         timer();
     }
 
-    // ---- small helpers ----
     std::size_t routesCounted() const { return v.exposurePerRoute ? v.routes.size() : 1; }
     std::size_t counted(int route) const { return v.exposurePerRoute ? std::size_t(route) : 0; }
     const Route &route(const Req &rq) const { return v.routes.at(std::size_t(rq.in.route)); }
@@ -299,10 +282,9 @@
         return figure;
     }
 
-    // ---- builds ----
     bool onTrial(BuildNo b) const {
-        if (!told) return b > oldestListed();
-        return b > news.build || (b == news.build && news.phase != Phase::released);
+        return !told ? b > oldestListed()
+                     : b > news.build || (b == news.build && news.phase != Phase::released);
     }
     BuildNo oldestListed() const { return live.empty() ? 1 << 30 : live.begin()->first; }
     // The newest listed build that is not on trial; 0 if none.
@@ -378,10 +360,8 @@
             if (step(build) < v.guardedStages && rt.effect != Effect::retriable) return false;
             if (!withinCap(build, rq.in.route)) return false;
         }
-        if (v.keysStay && !rq.in.key.empty()) {
-            const auto stay = stays.find(rq.in.key);
-            if (stay != stays.end() && build < stay->second) return false;
-        }
+        const auto stay = stays.find(rq.in.key);
+        if (stay != stays.end() && build < stay->second) return false;
         // cold servers
         return withinColdBudget(s);
     }
@@ -415,7 +395,6 @@
         return sent + 1 <= s.coldChance + v.tipMultiple * kColdMargin * warmth(s) * run * perServer;
     }
 
-    // ---- sending ----
     bool aside(const Server &s) const { return now < s.asideUntil; }
 
     // Inside a build: the lower of two random servers by (in-flight + 1) x decaying latency / weight.
@@ -426,8 +405,7 @@
         for (std::size_t i = 0, found = 0; i < n && found < 2; ++i) {
             std::swap(at->second[i], at->second[i + any(n - i)]);
             Server &s = *at->second[i];
-            const bool tried =
-                std::any_of(rq.tries.begin(), rq.tries.end(), [&](const Try &t) { return t.server == &s; });
+            const bool tried = std::ranges::count(rq.tries, &s, &Try::server) > 0;
             if ((!desperate && (aside(s) || tried)) || !passes(rq, s)) continue;
             if (++found == 1 || score(s) < score(*best)) best = &s;
         }
@@ -498,8 +476,7 @@
     }
     bool overShare(int account) const {
         if (account < 0 || account >= int(v.accountShares.size()) || recent.empty()) return false;
-        const auto n =
-            std::count_if(recent.begin(), recent.end(), [&](const auto &a) { return a.second == account; });
+        const auto n = std::ranges::count(recent, account, &std::pair<Span, int>::second);
         return double(n) > kOverShare * v.accountShares[std::size_t(account)] * double(recent.size());
     }
 
@@ -534,7 +511,6 @@
         if (!it->second.outstanding()) reqs.erase(it);
     }
 
-    // ---- events ----
     template <class Other> void on(const Other &) {}  // probes, notes, streams: not decided on yet
 
     void follow() {
@@ -646,10 +622,8 @@
                 const double gain = std::max(0.01, 1.0 / (1 + usualSeen[r]++));
                 usual[r] += gain * (took - usual[r]);
             }
-            if (v.keysStay && !rq.in.key.empty() && !rq.answered) {
-                BuildNo &stay = stays[rq.in.key];
-                stay = std::max(stay, t.build);
-            }
+            if (v.keysStay && !rq.in.key.empty() && !rq.answered)
+                stays[rq.in.key] = std::max(stays[rq.in.key], t.build);
             if (!t.cold) done.push_back({now, &s});
         } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
         else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t))
@@ -738,8 +712,7 @@
             // Moot: the stage has moved on and the news of it is late; nothing is gained by asking at once.
             else voteDue = now + (n.how == Outcome::moot ? kMootRetry : kVoteRetry);
         }
-        if (n.how != Outcome::ok) return;
-        if (told && (n.build < news.build)) return;
+        if (n.how != Outcome::ok || (told && n.build < news.build)) return;
         const bool fresh = !told || n.build != news.build;
         const bool changed = fresh || n.step != news.step || n.phase != news.phase;
         told = true, news = n;
@@ -767,8 +740,7 @@
         standing = Verdict::none, voteDue = now, votePending = false;
     }
 
-    // Whether the earlier build bears about all that the fleet gets.
-    bool fullLoad() const {
+    bool fullLoad() const {  // whether the earlier build bears about all that the fleet gets
         if (!told || news.phase != Phase::onTrial) return true;
         return suspicion == Suspicion::none && slowSince == Span{0} && trialShare() < 0.25;
     }
@@ -926,10 +898,10 @@
     }
 
     void vote() {
-        if (!told || now < voteDue) return;
-        if (votePending && now < voteSent + v.voteAnswerWithin + kVoteRetry) return;
-        if (news.phase == Phase::goingBack || news.phase == Phase::withdrawn) return;
-        if (news.phase == Phase::released && wanted != Verdict::back) return;
+        if (!told || now < voteDue || (votePending && now < voteSent + v.voteAnswerWithin + kVoteRetry))
+            return;
+        if (news.phase != Phase::onTrial && (news.phase != Phase::released || wanted != Verdict::back))
+            return;
         if (wanted == Verdict::none && standing == Verdict::none) return;
         out.push_back(Vote{news.build, news.step, wanted});
         if (lastVote != wanted || standing != wanted) {
