Ask the two choices for their load before the first send, where gateways are many

Where servers report to probes and gateways are 16 or more, the two are probed and the one that holds less is taken.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,6 +10,7 @@
 #include <deque>
 #include <random>
 #include <set>
+#include <utility>
 
 namespace deckcart {
 namespace {
@@ -54,12 +55,13 @@
 constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
-constexpr int kPairsBack = 3;         // failed on trial, then done on the other build: that many cast 'back'
+constexpr int kPairsBack = 3,
+              kWrongBack = 2;         // reqs that fail on trial only, answers reported wrong: cast 'back'
+constexpr int kManyGateways = 16;     // from so many on, own in-flight is a small part of what a server holds
 constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
 constexpr double kPooledLeast = 6, kPooledSlow = 1.4, kPooledDoubt = 2;  // answers, factor, standard errors
 constexpr Span kMootRetry = 1s, kVoteRetry = 250ms;  // pauses: the stage has passed or is young; turned away
-constexpr int kWrongBack = 2;  // reports of wrong answers that cast 'back' (one may be false)
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
 Span span(double seconds) { return Span{std::llround(seconds * 1e6)}; }
@@ -83,6 +85,8 @@
     Span asideUntil{};
     Span asideFor{};
     std::deque<Span> coldSends;
+    double inHand = 0;  // reqs that it holds, of all gateways, as last told
+    Span inHandAt{};
     double coldChance = 0;  // rounds the broken part of what may be sent while cold
 
     bool listed() const { return entry.readiness == Readiness::live; }
@@ -107,6 +111,8 @@
     Span arrived;
     std::vector<Try> tries;
     bool answered = false;
+    std::vector<Server *> asked;  // the two choices while their load is asked for
+    std::size_t waiting = 0;      // of these, not answered yet
 
     bool outstanding() const { return std::ranges::any_of(tries, &Try::out); }
     const Try *firstThatMayHaveRun() const {
@@ -274,11 +280,9 @@
         const double keep = std::exp(-secs(now - s.slownessAt) / kLatencyFade);
         double figure = 1 + (s.slowness - 1) * keep;
         // The oldest try under way tells of a server that answers nothing before any time-out does.
-        if (!s.out.empty()) {
-            const auto rq = reqs.find(s.out.begin()->second);
-            if (rq != reqs.end())
-                figure = std::max(figure, 0.5 * secs(now - s.out.begin()->first) / usualOf(rq->second));
-        }
+        const auto oldest = s.out.empty() ? reqs.end() : reqs.find(s.out.begin()->second);
+        if (oldest != reqs.end())
+            figure = std::max(figure, 0.5 * secs(now - s.out.begin()->first) / usualOf(oldest->second));
         return figure;
     }
 
@@ -294,8 +298,7 @@
         return at == live.rend() ? 0 : at->first;
     }
     double cap(BuildNo b) const {
-        if (told && b == news.build) return news.cap;
-        return v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
+        return told && b == news.build ? news.cap : v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
     }
     // The part of the keys whose first sends go to the trial build: 0.7 of the cap. Exception: while machines
     // of the stage are missing or cold, the part of it that runs, by warmth, so that the few do not get the
@@ -398,23 +401,47 @@
     bool aside(const Server &s) const { return now < s.asideUntil; }
 
     // Inside a build: the lower of two random servers by (in-flight + 1) x decaying latency / weight.
-    Server *pick(const Req &rq, BuildNo build, bool desperate) {
-        Server *best = nullptr;
+    std::vector<Server *> two(const Req &rq, BuildNo build, bool desperate) {
+        std::vector<Server *> chosen;
         const auto at = live.find(build);
         const std::size_t n = at == live.end() ? 0 : at->second.size();
-        for (std::size_t i = 0, found = 0; i < n && found < 2; ++i) {
+        for (std::size_t i = 0; i < n && chosen.size() < 2; ++i) {
             std::swap(at->second[i], at->second[i + any(n - i)]);
             Server &s = *at->second[i];
             const bool tried = std::ranges::count(rq.tries, &s, &Try::server) > 0;
-            if ((!desperate && (aside(s) || tried)) || !passes(rq, s)) continue;
-            if (++found == 1 || score(s) < score(*best)) best = &s;
+            if ((desperate || (!aside(s) && !tried)) && passes(rq, s)) chosen.push_back(&s);
+        }
+        return chosen;
+    }
+    // Exception where servers tell their load to probes and gateways are many, so that own in-flight says
+    // nothing: the two are asked before the first send. Covers uneven gateways, slow and crowded machines.
+    // Harm: a probe's price and delay; a lost one delays a req by a tick or so.
+    bool ask(Req &rq) {
+        if (!v.loadByProbe || v.gateways < kManyGateways) return false;
+        for (const BuildNo build : place(rq))
+            if (rq.asked.empty()) rq.asked = two(rq, build, false);
+        if (rq.asked.size() < 2) return false;
+        for (const Server *s : rq.asked) out.push_back(Probe{s->entry.id});
+        rq.waiting = rq.asked.size();
+        return true;
+    }
+    void on(const ProbeEnded &p) {
+        const auto at = servers.find(p.server);
+        if (at == servers.end()) return;
+        if (v.inHandField >= 0 && std::size_t(v.inHandField) < p.load.size())
+            at->second.inHand = p.load[std::size_t(v.inHandField)], at->second.inHandAt = now;
+        for (auto it = reqs.begin(); it != reqs.end();) {
+            const auto here = it++;
+            Req &rq = here->second;
+            if (rq.waiting > 0 && std::ranges::count(rq.asked, &at->second) > 0 && --rq.waiting == 0)
+                go(here);
         }
-        return best;
     }
     double score(const Server &s) const {
         const double far = s.entry.zone == v.zone ? 1 : 1 + 4 * v.crossZoneFee;
         const double weight = s.entry.weight > 0 ? s.entry.weight : 1;
-        return double(s.out.size() + 1) * slowness(s) * far / (weight * warmth(s));
+        const double others = s.inHand * std::exp(-secs(now - s.inHandAt) / kLatencyFade);
+        return (std::max(double(s.out.size()), others) + 1) * slowness(s) * far / (weight * warmth(s));
     }
 
     // The builds in the order in which this req should try them.
@@ -440,14 +467,20 @@
 
     // Tries to send; true if a try went out.
     bool dispatch(Req &rq) {
+        const auto lower = [&](const std::vector<Server *> &from) {
+            Server *best = nullptr;
+            for (Server *s : from)
+                if (!best || score(*s) < score(*best)) best = s;
+            if (best && rq.tries.empty() && tooLate(rq)) giveUp(rq);
+            else if (best) send(rq, *best);
+            return best != nullptr;
+        };
+        std::erase_if(rq.asked, [&](Server *s) { return aside(*s) || !passes(rq, *s); });
+        if (lower(std::exchange(rq.asked, {}))) return true;
         const auto order = place(rq);
         for (const bool desperate : {false, true})
             for (const BuildNo build : order)
-                if (Server *s = pick(rq, build, desperate)) {
-                    if (rq.tries.empty() && tooLate(rq)) giveUp(rq);
-                    else send(rq, *s);
-                    return true;
-                }
+                if (lower(two(rq, build, desperate))) return true;
         return false;
     }
 
@@ -507,11 +540,11 @@
         if (mayShed) out.push_back(Shed{rq.in.req, back});
         else out.push_back(EndErrored{rq.in.req});
     }
-    void drop(std::map<ReqId, Req>::iterator it) {
+    void drop(auto it) {
         if (!it->second.outstanding()) reqs.erase(it);
     }
 
-    template <class Other> void on(const Other &) {}  // probes, notes, streams: not decided on yet
+    template <class Other> void on(const Other &) {}  // notes, streams: not decided on yet
 
     void follow() {
         out.push_back(FollowList{true});
@@ -538,10 +571,14 @@
     }
 
     void on(const ReqArrived &in) {
-        const auto it = reqs.try_emplace(in.req, Req{in, now, {}}).first;
+        const auto it = reqs.try_emplace(in.req, Req{in, now, {}, false, {}, 0}).first;
         taken[counted(in.route)].push_back(now);
         recent.push_back({now, in.account});
         retryBudget = std::min(kRetryBurst, retryBudget + kRetryRate);
+        if (!ask(it->second)) go(it);
+    }
+    void go(std::map<ReqId, Req>::iterator it) {
+        it->second.waiting = 0;
         if (!dispatch(it->second)) hold(it);
         else if (it->second.answered) drop(it);
     }
@@ -564,10 +601,7 @@
 
     void on(const ReqGone &gone) {
         const auto it = reqs.find(gone.req);
-        if (it == reqs.end()) return;
-        it->second.answered = true;
-        callOff(it->second);
-        drop(it);
+        if (it != reqs.end()) it->second.answered = true, callOff(it->second), drop(it);
     }
 
     void on(const TryEnded &end) {
@@ -732,10 +766,8 @@
             auto kept = fresh ? decltype(arm->slowness){} : std::move(arm->slowness);
             *arm = Arm{}, arm->slowness = std::move(kept);
         }
-        healthy = unhealthy = 0;
-        tallySick = 0;
-        tallyTrial = tallyEarlier = Arm{};
-        lastTrialFailure = Span{0};
+        healthy = unhealthy = tallySick = 0;
+        tallyTrial = tallyEarlier = Arm{}, lastTrialFailure = Span{0};
         wanted = bad ? Verdict::back : Verdict::none;
         standing = Verdict::none, voteDue = now, votePending = false;
     }
@@ -747,10 +779,10 @@
 
     // Exception for a build that slows the earlier one as well, in step with its traffic, which no comparison
     // shows: when the earlier build's median has left its full-load figure, first sends to the trial stop. If
-    // that helps, they resume; if the slowness then comes back, the build is blamed, else cleared. Gateways
-    // see it at about the same time, so they pause together. Covers shared stores, caches and locks; a shared
-    // slowdown, a burst or a long req is not cured by a pause, nor does it return. Harm: delays a good build
-    // for some seconds when a slowdown ends during the pause.
+    // that helps, they resume; if the slowness then returns, the build is blamed, else cleared. Gateways see
+    // it at about the same time and pause together. Covers shared stores, caches and locks; a shared
+    // slowdown, burst or long req is not cured by a pause. Harm: a good build waits when a slowdown ends
+    // during the pause.
     void suspect() {
         forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
@@ -814,10 +846,9 @@
     }
 
     // Exception where many votes are needed to go back: a gateway of hundreds has no window of its own in
-    // time, so its vote may rest on the little that it met in the last vote life; the votes are the least
-    // count. It is wrong at a few gateways in a hundred, below the share needed, and lapses with its grounds.
-    // Covers errors, wrong answers and slowness. Harm: where many votes are needed but of few of the
-    // gateways.
+    // time, so its vote may rest on the little it met in the last vote life; the votes are the least count.
+    // It lapses with its grounds. Covers errors, wrong answers, slowness. Harm: where votes needed are many
+    // but of few gateways.
     bool pooledDoubts() {
         forget(met, now - v.voteLife);
         double tries = 0, evil = 0;
@@ -920,10 +951,8 @@
             const auto here = it++;
             Req &rq = here->second;
             if (rq.answered) continue;
-            if (!rq.outstanding()) {
-                if (!dispatch(rq)) hold(here);
-                else if (rq.answered) drop(here);
-            } else watch(rq);
+            if (rq.outstanding()) watch(rq);
+            else if (rq.waiting == 0 || now >= rq.arrived + kTick) go(here);
         }
     }
 
@@ -954,7 +983,6 @@
     for (const auto &event : happened) {
         if (std::holds_alternative<Stopped>(event)) {
             records.erase(who);
-            out.clear();
             continue;
         }
         if (const auto *start = std::get_if<Started>(&event)) {
@@ -972,7 +1000,6 @@
         found->second->judge();
         found->second->vote();
         out.swap(found->second->out);
-        found->second->out.clear();
     }
     return out;
 }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -41,6 +41,7 @@
     double after = 0.05;
     double failShare = 0;  // of the tries fail instead, evenly spread
     bool silent = false;
+    double load = 0;
     int route = -1;  // failures on this route only; -1: any
     int seen = 0;
 };
@@ -111,7 +112,11 @@
             note(std::string("vote ") + words[static_cast<int>(v->verdict)] +
                  " build=" + std::to_string(v->build) + " step=" + std::to_string(v->step));
         } else if (std::get_if<FollowList>(&action)) note("follow");
-        else if (const auto *words = std::get_if<LogLine>(&action)) note("log " + words->words);
+        else if (const auto *p = std::get_if<Probe>(&action)) {
+            note("probe server=" + p->server);
+            const ProbeEnded ended{p->server, Outcome::ok, span(0.001), {answers[p->server].load}};
+            due.emplace(now + ended.took, [this, ended] { give(ended); });
+        } else if (const auto *words = std::get_if<LogLine>(&action)) note("log " + words->words);
     }
     ServerId lastServer(ReqId req, int tryNo) {
         const std::string from = "send req=" + std::to_string(req) + " ",
@@ -174,6 +179,8 @@
             start.listMustBeAsked = l.number("ask", 0) > 0, start.askWithin = span(10);
             start.routes[1].repeatWindow = span(l.number("window", 5));
             start.spareTries = l.number("spare", 2);
+            start.loadByProbe = l.number("probes", 0) > 0, start.gateways = start.loadByProbe ? 99 : 3;
+            start.inHandField = start.loadByProbe ? 0 : -1;
             start.votesToGoBack = static_cast<int>(l.number("back", 1)), start.wrongReported = 0.5;
             if (l.text("gate") == "clock") start.gate = Gate::clock;
             give(Started{start});
@@ -197,6 +204,7 @@
             if (l.words.at(2) == "silent") a.silent = true;
             else a.how = kOutcomes.at(l.words.at(2));
             a.after = l.number("after", 0.05), a.failShare = l.number("fails", 0);
+            a.load = l.number("load", 0);
             a.route = static_cast<int>(l.number("onRoute", -1));
         } else if (verb == "news" || verb == "voted")
             give(StageNews{verb == "voted", kOutcomes.at(l.text("how", "ok")),
