--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -308,8 +308,9 @@
         if (suspicion == Suspicion::paused) return 0;
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
-        // At once where this gateway has shed of late: a full fleet has no room for more a machine.
-        const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
+        // At once where this gateway has shed of late (one of many sheds too seldom to know): there is no
+        // room.
+        const bool full = v.gateways >= kManyGateways || (shedAt != Span{0} && now - shedAt < kFullFor);
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
     }
@@ -935,7 +936,7 @@
             return;
         if (wanted == Verdict::none && standing == Verdict::none) return;
         out.push_back(Vote{news.build, news.step, wanted});
-        if (lastVote != wanted || standing != wanted) {
+        if (wanted != Verdict::on && (lastVote != wanted || standing != wanted)) {
             static constexpr const char *words[] = {"none", "on", "hold", "back"};
             log(std::string("vote ") + words[int(wanted)] + ": " + why);
         }
