Count a cold server for the share only while it may be sent to; slow answers end the quiet

With the smaller share slow builds met too little evidence, so tries cut short now count with the time they took, and answers slower by one standard error end the quiet.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -34,14 +34,12 @@
 constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
 constexpr Span kPulseSpan = 1500ms;      // of this long at most: it must follow a pause of the trial build
 constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
-constexpr Span kPauseMost = 4s,
-               kResumeMost = 6s;  // by then a pause that has not helped, or no return, clears
-constexpr double kHelped = 0.4;   // part of the excess that is left when a pause has helped: most has gone
-constexpr Span kClearFor = 8s;    // once cleared, no new pause for this long
-constexpr Span kFullFor = 5s;     // the fleet counts as full for this long after a shed: some jams and pauses
+constexpr Span kPauseMost = 4s, kResumeMost = 6s;  // by then no help of a pause, or no return, clears
+constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
+constexpr Span kClearFor = 8s;   // once cleared, no new pause for this long
+constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
 constexpr Span kPatience = 2500ms;  // 'on' 2 s after the stage's clock has started; half more as we guess it
-constexpr Span kClockLag = 1s,
-               kMachinesLate = 8s;     // a stage's clock: after the last machine runs; at the latest
+constexpr Span kClockLag = 1s, kMachinesLate = 8s;  // a stage's clock: after its last machine; at the latest
 constexpr double kColdMargin = 0.5;    // part of the tip multiple that is used: unequal gateways add up
 constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
 constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
@@ -55,12 +53,12 @@
 constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
-constexpr int kPairsBack = 3,
-              kWrongBack = 2;         // reqs that fail on trial only, answers reported wrong: cast 'back'
+constexpr int kPairsBack = 3, kWrongBack = 2;  // reqs failed on trial only, reports of wrong answers: 'back'
 constexpr int kManyGateways = 16;     // from so many on, own in-flight is a small part of what a server holds
 constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
-constexpr double kPooledLeast = 6, kPooledSlow = 1.4, kPooledDoubt = 2;  // answers, factor, standard errors
+constexpr double kPooledSlow = 1.4, kPooledLeast = 4;  // slower by this factor, on so many answers of each
+constexpr double kPooledHold = 1, kPooledBack = 2;     // and by so many standard errors: no quiet; 'back'
 constexpr Span kMootRetry = 1s, kVoteRetry = 250ms;  // pauses: the stage has passed or is young; turned away
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
@@ -170,17 +168,17 @@
     return values;
 }
 
-// Whether some answers are slower than others by more than a factor and chance, in the mean of their logs.
-bool clearlySlower(const std::vector<double> &ours, const std::vector<double> &theirs) {
+// How many standard errors some answers are slower than others, beyond a factor, in the mean of their logs.
+double slowerBy(const std::vector<double> &ours, const std::vector<double> &theirs) {
     double n[2]{}, mean[2]{}, squares = 0;
     for (const int k : {0, 1})
         for (const double ratio : k ? theirs : ours) {
             const double x = std::log(std::max(ratio, 0.01)), off = x - mean[k];
             mean[k] += off / ++n[k], squares += off * (x - mean[k]);
         }
-    if (n[0] < kPooledLeast || n[1] < kPooledLeast) return false;
+    if (n[0] < kPooledLeast || n[1] < kPooledLeast) return 0;
     const double error = std::sqrt(squares / (n[0] + n[1] - 2) * (1 / n[0] + 1 / n[1]));
-    return mean[0] - mean[1] > std::log(kPooledSlow) + kPooledDoubt * error;
+    return (mean[0] - mean[1] - std::log(kPooledSlow)) / std::max(error, 1e-9);
 }
 
 // The same for every gateway, whatever the standard library hashes with.
@@ -204,7 +202,7 @@
     std::map<BuildNo, std::vector<Server *>> live;  // by build, as last listed; in any order
     // Of the live servers, at the last count: the stage's machines and places, and how warm they are.
     struct {
-        double ready = 0, others = 0;  // sums of warmth, on the build told last and on the rest
+        double ready = 0, others = 0;  // warmth that may be sent to, on the build told last and on the rest
         double fresh = 0, places = 0;
         Span lastStart{};
         bool anyCold = false;
@@ -249,7 +247,7 @@
     enum class Suspicion { none, paused, resumed } suspicion = Suspicion::none;
     Span suspectedAt{}, slowSince{}, clearUntil{};
     double slowAtPause = 0;
-    std::deque<double> reference;  // slowness of the earlier build while it bore about all the reqs
+    std::vector<double> reference;  // slowness of the earlier build while it bore about all the reqs
 
     Record(const StartValues &start, Span at)
         : v(start), now(at), rng(static_cast<std::mt19937::result_type>(start.seed ^ (start.seed >> 32))),
@@ -319,9 +317,10 @@
         count = {};
         std::vector<double> slow;
         for (const auto &[build, list] : live)
-            for (const Server *s : list) {
+            for (Server *s : list) {
                 const bool isNew = build == news.build;
-                (isNew ? count.ready : count.others) += warmth(*s);
+                if (v.replacedInPlace || withinColdBudget(*s))
+                    (isNew ? count.ready : count.others) += warmth(*s);
                 count.fresh += isNew;
                 if (isNew) count.lastStart = std::max(count.lastStart, s->entry.startedAt.value_or(Span{0}));
                 count.places += v.replacedInPlace || !isNew;
@@ -386,10 +385,9 @@
 
     // Guards a cold server against all gateways together: over the stated span, and no longer than it has
     // run, each gives it at most a part of the tip multiple x its warmth x what a warm server has answered of
-    // this gateway's reqs; answers, so that no burst or jam raises it. The broken part of a req is a chance
-    // drawn once a start, so that hundreds of gateways with a tenth of a req each send it together and the
-    // few warm servers of a build do not jam. Covers new builds, restarts, crashes. Harm: a small stage told
-    // more gets less.
+    // this gateway's reqs; answers, so that no burst raises it. The broken part of a req is a chance drawn
+    // once a start: hundreds of gateways send their tenths together. Covers builds, restarts, crashes. Harm:
+    // a small stage.
     bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
         if (!cold(s)) return true;
@@ -545,7 +543,7 @@
         if (!it->second.outstanding()) reqs.erase(it);
     }
 
-    template <class Other> void on(const Other &) {}  // notes, streams: not decided on yet
+    template <class Other> void on(const Other &) {}  // notes, streams: not decided on yet; the start is done
 
     void follow() {
         out.push_back(FollowList{true});
@@ -671,12 +669,20 @@
     // ---- the judge ----
 
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
-        if (!told || end.how == Outcome::cancelled || provesNotRun(end.how)) return;
+        if (!told || provesNotRun(end.how)) return;
         if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
         const bool isTrial = t.build == news.build;
         const bool failed = isFailure(end.how);
         // A server that answers nothing is a machine's trouble: its silence tells nothing of the build.
         if (failed && end.how != Outcome::error && t.server->unanswered >= kEjectAfter) return;
+        Arm &arm = isTrial ? trial : earlier;
+        // A try cut short has taken at least so long; left out, a slow build's slowest answers would not
+        // count.
+        const bool cutShort = end.how == Outcome::cancelled || end.how == Outcome::timeout;
+        const bool counts = t.build <= news.build && !t.cold && t.server->unanswered < kEjectAfter;
+        if (cutShort && counts && ratio > 1 && v.votesToGoBack >= kPooledVotes)
+            arm.slowness.push_back({now, ratio});
+        if (end.how == Outcome::cancelled) return;
         // The pair: a req that failed on one build and was done on the other.
         if (end.how == Outcome::ok && rq.tries.size() > 1) {
             const Try &before = rq.tries[rq.tries.size() - 2];
@@ -685,12 +691,11 @@
                 else if (isTrial) ++pairsEarlier;
             }
         }
-        // A cold machine is slow, but it does not answer errors for that: its errors end the quiet.
-        if (isTrial && failed && (!t.cold || end.how == Outcome::error)) lastTrialFailure = now;
+        if (isTrial && failed && (!t.cold || end.how == Outcome::error))
+            lastTrialFailure = now;  // cold: only slow
         ownErrors += isTrial && end.how == Outcome::error;
         if (isTrial) met.push_back({now, 0});
         if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
-        Arm &arm = isTrial ? trial : earlier;
         arm.add(rq.in.route, t.server->entry.id, failed, end.how == Outcome::error, ratio);
         if (end.how == Outcome::ok) {
             arm.slowness.push_back({now, ratio});
@@ -701,7 +706,7 @@
             // Kept from before the trial if there were enough: the trial build may slow the others early.
             if (current && fullLoad() && (!onTrial(news.build) || reference.size() < kReference / 2)) {
                 reference.push_back(ratio);
-                if (reference.size() > kReference) reference.pop_front();
+                if (reference.size() > kReference) reference.erase(reference.begin());
             }
         }
     }
@@ -759,8 +764,7 @@
             lastEarlier = lastTally = Arm{}, met.clear(), pooledUntil = Span{0};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
-            for (auto &[key, build] : stays)
-                if (build >= n.build) build = 0;
+            std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; });
         suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
         closeWindow();
         for (Arm *arm : {&trial, &earlier}) {  // the latest latencies stay, but for a new build
@@ -787,8 +791,7 @@
     void suspect() {
         forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
-        const double slow =
-            quantile(valuesSince(pulse, Span{0}), 0.5) / quantile({reference.begin(), reference.end()}, 0.5);
+        const double slow = quantile(valuesSince(pulse, Span{0}), 0.5) / quantile(reference, 0.5);
         // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
         const bool warming = v.replacedInPlace && count.anyCold;
         if (slow <= kFleetSlow + kPulseDoubt / std::sqrt(double(pulse.size()))) slowSince = Span{0};
@@ -830,7 +833,7 @@
         trial.slowness.clear();  // the next window of a streak is judged on answers of its own
         const double p95 = quantile(ours, 0.95);
         const double unit = *std::min_element(usual.begin(), usual.end());
-        for (const auto &from : {theirs, std::vector<double>(reference.begin(), reference.end())}) {
+        for (const auto &from : {theirs, reference}) {
             if (int(from.size()) < kSlowLeast) return std::nullopt;
             const double other = quantile(from, 0.95);
             if (p95 <= kSlowRatio * other || (p95 - other) * unit <= secs(kSlowMargin)) return false;
@@ -857,7 +860,9 @@
         if (evil > 0 && evil >= kPooledFails * tries) return true;
         const auto ours = valuesSince(trial.slowness, now - kSlowSpan);
         const auto theirs = valuesSince(earlier.slowness, now - kSlowSpan);
-        return clearlySlower(ours, theirs) && clearlySlower(ours, {reference.begin(), reference.end()});
+        const double errors = std::min(slowerBy(ours, theirs), slowerBy(ours, reference));
+        if (errors > kPooledHold) lastTrialFailure = now;  // a stretch with slow answers is not quiet
+        return errors > kPooledBack;
     }
 
     void convict(const std::string &grounds) {
@@ -963,9 +968,8 @@
     void watch(Req &rq) {
         const int last = int(rq.tries.size()) - 1;
         Try &t = rq.tries.back();
-        if (!t.out || t.calledOff || !silent(*t.server, t) ||
-            now - t.sent < span(kSilent * fleet * usualOf(rq)))
-            return;
+        const Span most = span(kSilent * fleet * usualOf(rq));
+        if (!t.out || t.calledOff || !silent(*t.server, t) || now - t.sent < most) return;
         if (last + 1 >= v.mostTries || !mayGoAgain(rq) || retryBudget < 1) return;
         if (now + span(usualOf(rq)) >= rq.arrived + route(rq).latencyObjective) return;
         t.calledOff = true;
@@ -982,14 +986,9 @@
 std::vector<Action> Policy::decide(InstanceId who, Span now, const std::vector<Event> &happened) {
     std::vector<Action> out;
     for (const auto &event : happened) {
-        if (std::holds_alternative<Stopped>(event)) {
-            records.erase(who);
-            continue;
-        }
-        if (const auto *start = std::get_if<Started>(&event)) {
+        if (std::holds_alternative<Stopped>(event)) records.erase(who);
+        if (const auto *start = std::get_if<Started>(&event))
             records[who] = std::make_unique<Record>(start->values, now);
-            continue;
-        }
         const auto found = records.find(who);
         if (found == records.end()) continue;
         Record &record = *found->second;
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <functional>
 #include <iostream>
+#include <set>
 #include <sstream>
 
 using namespace deckcart;
@@ -63,6 +64,8 @@
     std::multimap<Span, std::function<void()>> due;
     std::vector<std::pair<Span, std::string>> seen;
     std::map<ReqId, int> tries, routeOf, finals, open;
+    std::map<std::pair<ReqId, int>, ServerId> sentTo;
+    std::set<std::pair<ReqId, int>> over;  // tries that have ended
     ReqId nextReq = 1000;
 
     World() {
@@ -87,7 +90,7 @@
         if (const auto *a = std::get_if<SendTry>(&action)) {
             assert(!finals[a->req] && "a try after the final answer");
             const int tryNo = tries[a->req]++;
-            ++open[a->req];
+            ++open[a->req], sentTo[{a->req, tryNo}] = a->server;
             note("send req=" + std::to_string(a->req) + " server=" + a->server +
                  " build=" + std::to_string(servers.at(a->server).build) + " try=" + std::to_string(tryNo));
             Answer &answer = answers[a->server];
@@ -100,8 +103,8 @@
             end(*a, tryNo, how, span(answer.after * (0.7 + 0.06 * (n * 7 % 10))));
         } else if (const auto *c = std::get_if<CancelTry>(&action)) {
             note("cancel req=" + std::to_string(c->req));
-            SendTry t{c->req, lastServer(c->req, c->tryNo), {}};
-            if (answers[t.server].silent) end(t, c->tryNo, Outcome::cancelled, span(0.01));
+            SendTry t{c->req, sentTo.at({c->req, c->tryNo}), {}};
+            if (!over.count({c->req, c->tryNo})) end(t, c->tryNo, Outcome::cancelled, span(0.01));
         } else if (const auto *s = std::get_if<Shed>(&action)) final(s->req, "shed");
         else if (const auto *e = std::get_if<EndErrored>(&action)) final(e->req, "errored");
         else if (const auto *t = std::get_if<SetTimer>(&action)) {
@@ -118,20 +121,13 @@
             due.emplace(now + ended.took, [this, ended] { give(ended); });
         } else if (const auto *words = std::get_if<LogLine>(&action)) note("log " + words->words);
     }
-    ServerId lastServer(ReqId req, int tryNo) {
-        const std::string from = "send req=" + std::to_string(req) + " ",
-                          to = " try=" + std::to_string(tryNo);
-        for (const auto &[at, text] : seen)
-            if (text.starts_with(from) && text.ends_with(to)) return Line(text).text("server");
-        assert(false && "cancelled a try never made");
-        return {};
-    }
     void final(ReqId req, const std::string &word) {
         assert(++finals[req] == 1 && "a second final answer");
         note(word + " req=" + std::to_string(req));
     }
     void end(const SendTry &t, int tryNo, Outcome how, Span after) {
         due.emplace(now + after, [=, this] {
+            if (!over.insert({t.req, tryNo}).second) return;  // cancelled before it answered
             --open[t.req];
             const bool first = how == Outcome::ok && !finals[t.req];
             if (first) final(t.req, "completed");
