--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -241,7 +241,7 @@
     Verdict lastVote = Verdict::none;
     Span voteDue{}, voteSent{};
     std::string why, reason;
-    Arm tallyTrial, tallyEarlier, lastTally;
+    Arm tallyTrial, tallyEarlier;
     int tallySick = 0, ownErrors = 0;
     std::deque<std::pair<Span, double>> pulse;  // the earlier build's slowness within kPulseSpan
     enum class Suspicion { none, paused, resumed } suspicion = Suspicion::none;
@@ -728,9 +728,8 @@
     // have met an error of the trial build itself. Covers bad builds at small gateways. Harm: a dying machine
     // and a rare error.
     void judgeTally() {
-        if (enough(tallyEarlier)) lastTally = tallyEarlier;
-        if (!enough(tallyTrial) || !enough(lastTally)) return;
-        tallySick = tooMany(tallyTrial, lastTally) ? tallySick + 1 : 0;
+        if (!enough(tallyTrial) || !enough(tallyEarlier)) return;
+        tallySick = tooMany(tallyTrial, tallyEarlier) ? tallySick + 1 : 0;
         if (ownErrors > 0 && tallySick >= kUnhealthyStreak) return convict("counts");
         tallyTrial = tallyEarlier = Arm{};
     }
@@ -761,7 +760,7 @@
         countServers();
         if (fresh) {
             bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
-            lastEarlier = lastTally = Arm{}, met.clear(), pooledUntil = Span{0};
+            lastEarlier = Arm{}, met.clear(), pooledUntil = Span{0};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
             std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; });
