--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -49,7 +49,9 @@
 constexpr double kMostAside = 0.4;  // part of a build put aside at most: beyond it is no machine's trouble
 constexpr double kSilent = 4;  // times the usual latency, fleet's slowness included, that tell of silence
 constexpr double kShedFrom = 0.45, kShedSpan = 0.5;  // of the objective: half a mean's head-room, evenly more
-constexpr Span kPaceSpan = 1s;  // answers of this long give the pace: some latencies, not a surge's length
+constexpr Span kPaceSpan = 1s;   // answers of this long give the pace: some latencies, not a surge's length
+constexpr Span kFateSpan = 4s;   // ends of this long show a jam: some answers of a small gateway
+constexpr double kThrottle = 2;  // reqs let through for each that ends in time: a fleet that heals is found
 constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
 constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
 constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
@@ -220,7 +222,8 @@
     std::deque<Span> ends;                             // answers within the last kPaceSpan
     double perServer = 0;                              // of these, what one warm server has given
     double fleet = 1;                                  // median slowness of the warm servers
-    std::deque<std::pair<Span, int>> recent;           // accepted reqs and their accounts, likewise
+    std::deque<std::pair<Span, std::pair<int, bool>>> fates;  // reqs that ended: account, whether in time
+    std::deque<std::pair<Span, int>> recent;                  // accepted reqs and their accounts, likewise
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
 
@@ -299,15 +302,12 @@
         return told && b == news.build ? news.cap : v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
     }
     // The part of the keys whose first sends go to the trial build: 0.7 of the cap. Exception: while machines
-    // of the stage are missing or cold, the part of it that runs, by warmth, so that the few do not get the
-    // whole load and look bad. Covers slow starts, late lists, lost machines. Harm: a stage short for good
-    // gets less.
+    // are missing or cold, what of the stage runs, by warmth: the few would be crowded. Harm: one short.
     double trialShare() const {
         if (suspicion == Suspicion::paused) return 0;
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
-        // At once where this gateway has shed of late (one of many sheds too seldom to know): there is no
-        // room.
+        // At once where this gateway has shed of late (one of many sheds too seldom to know).
         const bool full = v.gateways >= kManyGateways || (shedAt != Span{0} && now - shedAt < kFullFor);
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
@@ -383,11 +383,9 @@
         return double(tries.size()) + 1 <= v.spareTries + share * double(taken[c].size());
     }
 
-    // Guards a cold server against all gateways together: over the stated span, and no longer than it has
-    // run, each gives it at most a part of the tip multiple x its warmth x what a warm server has answered of
-    // this gateway's reqs; answers, so that no burst raises it. The broken part of a req is a chance drawn
-    // once a start: hundreds of gateways send their tenths together. Covers builds, restarts, crashes. Harm:
-    // a small stage.
+    // Guards a cold server against all gateways together: over the stated span, as far as it has run, each
+    // sends a part of the tip multiple x its warmth x what a warm server has answered of this gateway's reqs
+    // (no burst raises that); the broken part of a req by a chance drawn once a start. Harm: small stages.
     bool withinColdBudget(Server &s) const {
         const Span age = s.age(now);
         if (!cold(s)) return true;
@@ -412,9 +410,8 @@
         }
         return chosen;
     }
-    // Exception where servers tell their load to probes and gateways are many, so that own in-flight says
-    // nothing: the two are asked before the first send. Covers uneven gateways, slow and crowded machines.
-    // Harm: a probe's price and delay; a lost one delays a req by a tick or so.
+    // Exception where servers tell their load to probes and gateways are many, so own in-flight says nothing:
+    // the two are asked. Covers uneven gateways, crowded machines. Harm: price and delay.
     bool ask(Req &rq) {
         if (!v.loadByProbe || v.gateways < kManyGateways) return false;
         for (const BuildNo build : place(rq))
@@ -484,14 +481,24 @@
     }
 
     // Sheds while the reqs under way could not be answered in time at the pace of the last second's answers,
-    // ever more the slower; an account's excess over its share first. Covers surges, overload, lost machines,
-    // shared slowdowns. Harm: with few answers a second the pace is a guess, and only a jam of several sheds.
+    // more the slower; an account's excess first. Covers surges, lost machines, slowdowns. Harm: a rough
+    // pace.
     bool tooLate(const Req &rq) {
         const double expected = usualOf(rq) * pressure() / secs(route(rq).latencyObjective);
         // A pace of n answers is known to one part in the root of n: few answers must not shed by chance.
         const double doubt = 1 + 2 / std::sqrt(std::max(1.0, double(ends.size())));
         const double from = doubt * (overShare(rq.in.account) ? kShedFrom / 2 : kShedFrom);
-        if (expected <= from || chance() >= (expected - from) / kShedSpan) return false;
+        // Adaptive throttling where gateways are many: a few reqs a second give no pace, but show that under
+        // half of an account's end in time. Covers jams that feed themselves, heedless repeats. Harm: other
+        // failures.
+        forget(fates, now - kFateSpan);
+        double ended = 0, good = 0;
+        for (const auto &[at, fate] : fates)
+            if (fate.first == rq.in.account) ++ended, good += fate.second;
+        const double jam =
+            v.gateways < kManyGateways ? 0 : (ended - kThrottle * good) / (ended + kFewUnderWay);
+        const double part = std::max((expected - from) / kShedSpan, jam);
+        if (part <= 0 || chance() >= part) return false;
         shedAt = now;
         return true;
     }
@@ -526,10 +533,14 @@
             if (rq.tries[k].out) out.push_back(CancelTry{rq.in.req, int(k)});
     }
 
+    void finish(Req &rq, bool inTime) {
+        if (!rq.answered) fates.push_back({now, {rq.in.account, inTime}});
+        rq.answered = true;
+    }
     // The final answer of a req that is given up: shed where that is true, errored else.
     void giveUp(Req &rq) {
         if (rq.answered) return;
-        rq.answered = true;
+        finish(rq, false);
         const Route &rt = route(rq);
         const bool ran = rq.firstThatMayHaveRun() != nullptr;
         const bool mayShed = rt.effect == Effect::retriable || !ran ||
@@ -600,7 +611,7 @@
 
     void on(const ReqGone &gone) {
         const auto it = reqs.find(gone.req);
-        if (it != reqs.end()) it->second.answered = true, callOff(it->second), drop(it);
+        if (it != reqs.end()) finish(it->second, false), callOff(it->second), drop(it);
     }
 
     void on(const TryEnded &end) {
@@ -614,7 +625,7 @@
         settle(rq, t, end);
         if (end.reqOver || end.how == Outcome::ok) {
             if (!rq.answered) callOff(rq);
-            rq.answered = true;
+            finish(rq, end.how == Outcome::ok && now <= rq.arrived + route(rq).latencyObjective);
         }
         if (rq.answered) return drop(it);
         if (rq.outstanding()) return;
@@ -666,8 +677,6 @@
         evidence(rq, t, end, took / usual[r]);
     }
 
-    // ---- the judge ----
-
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
         if (!told || provesNotRun(end.how)) return;
         if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
@@ -676,8 +685,7 @@
         // A server that answers nothing is a machine's trouble: its silence tells nothing of the build.
         if (failed && end.how != Outcome::error && t.server->unanswered >= kEjectAfter) return;
         Arm &arm = isTrial ? trial : earlier;
-        // A try cut short has taken at least so long; left out, a slow build's slowest answers would not
-        // count.
+        // A try cut short took at least so long; or a slow build's slowest answers would not count.
         const bool cutShort = end.how == Outcome::cancelled || end.how == Outcome::timeout;
         const bool counts = t.build <= news.build && !t.cold && t.server->unanswered < kEjectAfter;
         if (cutShort && counts && ratio > 1 && v.votesToGoBack >= kPooledVotes)
@@ -723,10 +731,9 @@
         cell.n += c.counted, cell.fails += c.lost;
     }
 
-    // Exception where the platform counts tries: a gateway with too few outcomes for a window of its own
-    // takes the counts, the same for all, as windows. They hold refusals and dead machines too, so it must
-    // have met an error of the trial build itself. Covers bad builds at small gateways. Harm: a dying machine
-    // and a rare error.
+    // Exception where the platform counts tries, the same for all: they are windows where own outcomes are
+    // few. They hold refusals and dead machines too, so an error of the trial build must have been met here.
+    // Covers bad builds at small gateways. Harm: a dying machine and a rare error.
     void judgeTally() {
         if (!enough(tallyTrial) || !enough(tallyEarlier)) return;
         tallySick = tooMany(tallyTrial, tallyEarlier) ? tallySick + 1 : 0;
@@ -781,12 +788,10 @@
         return suspicion == Suspicion::none && slowSince == Span{0} && trialShare() < 0.25;
     }
 
-    // Exception for a build that slows the earlier one as well, in step with its traffic, which no comparison
-    // shows: when the earlier build's median has left its full-load figure, first sends to the trial stop. If
-    // that helps, they resume; if the slowness then returns, the build is blamed, else cleared. Gateways see
-    // it at about the same time and pause together. Covers shared stores, caches and locks; a shared
-    // slowdown, burst or long req is not cured by a pause. Harm: a good build waits when a slowdown ends
-    // during the pause.
+    // Exception for a build that slows the earlier one too, in step with its traffic: when the earlier
+    // build's median has left its full-load figure, first sends to the trial stop; if that helps they resume,
+    // and if the slowness then returns the build is blamed, else cleared. Covers shared stores, caches,
+    // locks; a shared slowdown or burst is not cured by a pause. Harm: a good build waits if one ends then.
     void suspect() {
         forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
@@ -820,12 +825,10 @@
 
     // The design's p95 comparison. Exception: at late stages the trial's machines bear more and queue more,
     // so it must also be slower than the earlier build under full load, and slow on most of its machines.
-    // Guards against load, a neighbour or a pause taken for the build. Harm: a slow build in a fleet slow
-    // before it.
+    // Guards against load, a neighbour or a pause taken for the build. Harm: a fleet slow before.
     std::optional<bool> slower(const Arm &base) {
         if (int(trial.slowness.size()) < kSlowLeast) return std::nullopt;
-        // Of the same time: what slowed both a while ago must not stay in the build with fewer, older
-        // answers.
+        // Of the same time: what slowed both a while ago must not stay in the older, fewer answers.
         const Span since = (trial.slowness.end() - kSlowLeast)->first;
         const auto ours = valuesSince(trial.slowness, since);
         const auto theirs = valuesSince(base.slowness, &base == &lastEarlier ? Span{0} : since);
@@ -848,10 +851,9 @@
         return std::nullopt;
     }
 
-    // Exception where many votes are needed to go back: a gateway of hundreds has no window of its own in
-    // time, so its vote may rest on the little it met in the last vote life; the votes are the least count.
-    // It lapses with its grounds. Covers errors, wrong answers, slowness. Harm: where votes needed are many
-    // but of few gateways.
+    // Exception where many votes are needed to go back: one gateway of hundreds has no window in time, so its
+    // vote may rest on the last vote life's few answers and lapses with them; the votes are the least count.
+    // Covers errors, wrong answers, slowness. Harm: where votes needed are many but of few of the gateways.
     bool pooledDoubts() {
         forget(met, now - v.voteLife);
         double tries = 0, evil = 0;
@@ -913,9 +915,8 @@
         else if (quiet) want(Verdict::on, "quiet");
     }
 
-    // Exception before slowness or time-outs are blamed on the build: its share is first brought down to an
-    // even one a machine, what was sent before left out. Guards against trial machines that bear more than
-    // the others at high load. Harm: a second or two of a slow build.
+    // Exception before slowness or time-outs are blamed on the build: an even share a machine first, what was
+    // sent before left out. Guards against crowded trial machines. Harm: a second or two of a slow build.
     void ease() {
         eased = true, easedAt = now;
         log("eased: trial slow, even share first");
@@ -961,9 +962,8 @@
         }
     }
 
-    // A try on a server that has been silent since is copied or called off, so that the req can go elsewhere.
-    // Covers hung and dying machines and cut links. Harm: a long req's work is thrown away, so the wait is
-    // several times the usual at the fleet's present slowness.
+    // A try on a server silent since for several times the usual is copied or called off, so that the req can
+    // go elsewhere. Covers hung and dying machines, cut links. Harm: a long req's work is thrown away.
     void watch(Req &rq) {
         const int last = int(rq.tries.size()) - 1;
         Try &t = rq.tries.back();
