Two pairs are enough where two or three votes send a build back

Each vote now rests on one pair less where two or three are needed (pooled ones need one and lapse). Others need one vote or pooled ones: unchanged.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -231,7 +231,6 @@
     StageNews news;
     Span newsBegan{};  // when the stage told last began
 
-    // the judge
     Arm trial, earlier, lastEarlier;
     Span windowBegan{};
     int healthy = 0, unhealthy = 0;
@@ -461,8 +460,7 @@
         return order;
     }
 
-    // Tries to send; true if a try went out.
-    bool dispatch(Req &rq) {
+    bool dispatch(Req &rq) {  // true if a try went out
         const auto lower = [&](const std::vector<Server *> &from) {
             Server *best = nullptr;
             for (Server *s : from)
@@ -880,7 +878,10 @@
         countServers();
         if (!told || bad || (news.phase != Phase::onTrial && news.phase != Phase::released)) return;
         if (wrong >= kWrongBack) return convict("wrong answers");
-        if (pairsTrial >= kPairsBack && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
+        // Where two or three votes are needed each rests on a pair less; the pooled ones lapse and so need
+        // one.
+        const int pairs = v.votesToGoBack > 1 && v.votesToGoBack < kPooledVotes ? kPairsBack - 1 : kPairsBack;
+        if (pairsTrial >= pairs && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
         judgeTally();
         if (bad) return;
         if (v.votesToGoBack >= kPooledVotes && pooledDoubts()) pooledUntil = now + v.voteLife;
@@ -896,8 +897,7 @@
             const bool sick = errors || slow;
             if (sick) healthy = 0, ++unhealthy, reason = errors ? "failures" : lost ? "time-outs" : "slow";
             else ++healthy;
-            // A window that cannot tell slowness does not end a streak of slow ones.
-            if (!sick && (late || reason == "failures")) unhealthy = 0;
+            if (!sick && (late || reason == "failures")) unhealthy = 0;  // late empty: a slow streak stands
             if (unhealthy >= kUnhealthyStreak) return convict(reason);
             if (sick && wanted == Verdict::on) want(Verdict::none, reason);
             closeWindow();
