--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -10,7 +10,6 @@
 #include <deque>
 #include <random>
 #include <set>
-#include <utility>
 
 namespace deckcart {
 namespace {
@@ -57,6 +56,7 @@
 constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
 constexpr int kPairsBack = 3, kWrongBack = 2;  // reqs failed on trial only, reports of wrong answers: 'back'
 constexpr int kManyGateways = 16;     // from so many on, own in-flight is a small part of what a server holds
+constexpr double kFleetLoses = 0.1;   // of the earlier build's tries: then failures are not the trial's alone
 constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
 constexpr double kPooledSlow = 1.4, kPooledLeast = 4;  // slower by this factor, on so many answers of each
@@ -137,11 +137,13 @@
     std::deque<std::pair<Span, double>> slowness;  // of completed tries, over the route's usual latency
     std::map<ServerId, Cell> servers;
 
-    double count() const {
+    double sum(double Cell::*what) const {
         double n = 0;
-        for (const auto &[r, c] : routes) n += c.n;
+        for (const auto &[r, c] : routes) n += c.*what;
         return n;
     }
+    double count() const { return sum(&Cell::n); }
+    bool losesMany() const { return sum(&Cell::fails) >= std::max(4.0, kFleetLoses * count()); }
     void add(int route, const ServerId &server, bool failed, bool error, double ratio) {
         for (Cell *c : {&routes[route], &servers[server]})
             c->n += 1, c->fails += failed, c->errors += error, c->slow += failed ? 0 : ratio;
@@ -470,7 +472,7 @@
             return best != nullptr;
         };
         std::erase_if(rq.asked, [&](Server *s) { return aside(*s) || !passes(rq, *s); });
-        if (lower(std::exchange(rq.asked, {}))) return true;
+        if (lower(std::vector<Server *>(std::move(rq.asked)))) return true;
         const auto order = place(rq);
         for (const bool desperate : {false, true})
             for (const BuildNo build : order)
@@ -697,8 +699,10 @@
                 else if (isTrial) ++pairsEarlier;
             }
         }
-        if (isTrial && failed && (!t.cold || end.how == Outcome::error))
-            lastTrialFailure = now;  // cold: only slow
+        // Not where the earlier build loses as well (errors of all, answers lost): no build's fault; harm:
+        // both bad.
+        if (isTrial && failed && (!t.cold || end.how == Outcome::error) && !earlier.losesMany())
+            lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
         if (isTrial) met.push_back({now, 0});
         if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
@@ -730,11 +734,12 @@
     }
 
     // Exception where the platform counts tries, the same for all: they are windows where own outcomes are
-    // few. They hold refusals and dead machines too, so an error of the trial build must have been met here.
-    // Covers bad builds at small gateways. Harm: a dying machine and a rare error.
+    // few. They hold refusals, dead machines and reqs that have failed on the earlier build, so an error of
+    // the trial must have been met here, and the earlier must lose few. Covers bad builds at small gateways.
+    // Harm: bad ones in a jam.
     void judgeTally() {
         if (!enough(tallyTrial) || !enough(tallyEarlier)) return;
-        tallySick = tooMany(tallyTrial, tallyEarlier) ? tallySick + 1 : 0;
+        tallySick = !tallyEarlier.losesMany() && tooMany(tallyTrial, tallyEarlier) ? tallySick + 1 : 0;
         if (ownErrors > 0 && tallySick >= kUnhealthyStreak) return convict("counts");
         tallyTrial = tallyEarlier = Arm{};
     }
@@ -753,7 +758,6 @@
         if (n.answersVote) {
             votePending = false;
             if (n.how == Outcome::ok) standing = lastVote, voteDue = now + v.voteLife * 6 / 10;
-            // Moot: the stage has moved on and the news of it is late; nothing is gained by asking at once.
             else voteDue = now + (n.how == Outcome::moot ? kMootRetry : kVoteRetry);
         }
         if (n.how != Outcome::ok || (told && n.build < news.build)) return;
@@ -941,10 +945,7 @@
             return;
         if (wanted == Verdict::none && standing == Verdict::none) return;
         out.push_back(Vote{news.build, news.step, wanted});
-        if (wanted != Verdict::on && (lastVote != wanted || standing != wanted)) {
-            static constexpr const char *words[] = {"none", "on", "hold", "back"};
-            log(std::string("vote ") + words[int(wanted)] + ": " + why);
-        }
+        if (wanted == Verdict::back && (lastVote != wanted || standing != wanted)) log("vote back: " + why);
         lastVote = wanted, votePending = true, voteSent = now;
         voteDue = now + v.voteLife * 6 / 10;
     }
@@ -990,9 +991,8 @@
             records[who] = std::make_unique<Record>(start->values, now);
         const auto found = records.find(who);
         if (found == records.end()) continue;
-        Record &record = *found->second;
-        record.now = now;
-        std::visit([&](const auto &e) { record.on(e); }, event);
+        found->second->now = now;
+        std::visit([&](const auto &e) { found->second->on(e); }, event);
     }
     const auto found = records.find(who);
     if (found != records.end()) {
