Keep most choices at home where load is asked for and crossing zones has a price

Six in ten of other zones' servers are now passed over; the load told by servers keeps a zone from filling up.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -32,18 +32,16 @@
 constexpr double kPulseDoubt = 1.5;  // over the root of the answers: about one spread of such a median
 constexpr std::size_t kPulseLeast = 15;  // answers that give a median good enough for it
 constexpr Span kPulseSpan = 1500ms;      // of this long at most: it must follow a pause of the trial build
-constexpr Span kSlowFor = 700ms;         // slow for this long before a trial pause, or again after it
+constexpr Span kSlowFor = 700ms, kClearFor = 8s;   // slow before a pause or blame; no new pause once cleared
 constexpr Span kPauseMost = 4s, kResumeMost = 6s;  // by then no help of a pause, or no return, clears
 constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
-constexpr Span kClearFor = 8s;   // once cleared, no new pause for this long
 constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
 constexpr Span kPatience = 2500ms;  // 'on' 2 s after the stage's clock has started; half more as we guess it
 constexpr Span kClockLag = 1s, kMachinesLate = 8s;  // a stage's clock: after its last machine; at the latest
-constexpr double kColdMargin = 0.5;    // part of the tip multiple that is used: unequal gateways add up
-constexpr double kRetryRate = 0.2;     // further tries a req on average: more would feed a jam
-constexpr double kRetryBurst = 10;     // further tries saved up for a sudden failure
-constexpr double kLatencyGain = 0.25;  // weight of a new latency: four answers tell a changed server
-constexpr double kLatencyFade = 4;  // seconds until an unused server's figure has mostly faded to the usual
+constexpr double kColdMargin = 0.5;  // part of the tip multiple that is used: unequal gateways add up
+constexpr double kRetryRate = 0.2, kRetryBurst = 10;  // further tries a req, more would feed a jam; saved up
+constexpr double kLatencyGain = 0.25,
+                 kLatencyFade = 4;  // of a new latency; seconds until it has mostly faded
 constexpr int kEjectAfter = 2;      // unanswered tries in a row that put a server aside
 constexpr double kMostAside = 0.4;  // part of a build put aside at most: beyond it is no machine's trouble
 constexpr double kSilent = 4;  // times the usual latency, fleet's slowness included, that tell of silence
@@ -51,13 +49,14 @@
 constexpr Span kPaceSpan = 1s;   // answers of this long give the pace: some latencies, not a surge's length
 constexpr Span kFateSpan = 4s;   // ends of this long show a jam: some answers of a small gateway
 constexpr double kThrottle = 2;  // reqs let through for each that ends in time: a fleet that heals is found
-constexpr double kFewUnderWay = 4;   // fewer reqs under way than this are no jam
-constexpr double kOverShare = 1.25;  // times its share of our reqs that make an account's excess
+constexpr double kFewUnderWay = 4,
+                 kOverShare = 1.25;                // reqs that are no jam; times its share that are excess
 constexpr Span kEjectFirst = 1s, kEjectMost = 8s;  // time aside, doubled each time in a row
 constexpr int kPairsBack = 3, kWrongBack = 2;  // reqs failed on trial only, reports of wrong answers: 'back'
-constexpr int kManyGateways = 16;     // from so many on, own in-flight is a small part of what a server holds
-constexpr double kFleetLoses = 0.1;   // of the earlier build's tries: then failures are not the trial's alone
-constexpr int kPooledVotes = 4;       // where 'back' takes so many votes, each may rest on little evidence
+constexpr double kAtHome = 0.6;      // of other zones' choices passed over: one zone of three keeps over half
+constexpr int kManyGateways = 16;    // from so many on, own in-flight is a small part of what a server holds
+constexpr double kFleetLoses = 0.2;  // of the earlier build's tries: then failures are not the trial's alone
+constexpr int kPooledVotes = 4;      // where 'back' takes so many votes, each may rest on little evidence
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
 constexpr double kPooledSlow = 1.4, kPooledLeast = 4;  // slower by this factor, on so many answers of each
 constexpr double kPooledHold = 1, kPooledBack = 2;     // and by so many standard errors: no quiet; 'back'
@@ -356,8 +355,7 @@
             if (rt.group != Group::all && ran->zone != s.entry.zone) return false;
             if (rt.group == Group::cell && ran->cell != s.entry.cell) return false;
         }
-        // drains
-        if (!s.listed()) return false;
+        if (!s.listed()) return false;  // drains
         // exposure
         const BuildNo build = s.entry.build;
         if (onTrial(build)) {
@@ -366,8 +364,7 @@
         }
         const auto stay = stays.find(rq.in.key);
         if (stay != stays.end() && build < stay->second) return false;
-        // cold servers
-        return withinColdBudget(s);
+        return withinColdBudget(s);  // cold servers
     }
 
     std::deque<Span> &triesAt(BuildNo build, int route) {
@@ -407,14 +404,19 @@
             std::swap(at->second[i], at->second[i + any(n - i)]);
             Server &s = *at->second[i];
             const bool tried = std::ranges::count(rq.tries, &s, &Try::server) > 0;
+            // A price on crossing zones keeps most choices at home where load is asked for; score() does the
+            // rest.
+            const bool away = v.crossZoneFee > 0 && asksLoad() && s.entry.zone != v.zone;
+            if (!desperate && away && chance() < kAtHome) continue;
             if ((desperate || (!aside(s) && !tried)) && passes(rq, s)) chosen.push_back(&s);
         }
         return chosen;
     }
     // Exception where servers tell their load to probes and gateways are many, so own in-flight says nothing:
     // the two are asked. Covers uneven gateways, crowded machines. Harm: price and delay.
+    bool asksLoad() const { return v.loadByProbe && v.gateways >= kManyGateways; }
     bool ask(Req &rq) {
-        if (!v.loadByProbe || v.gateways < kManyGateways) return false;
+        if (!asksLoad()) return false;
         for (const BuildNo build : place(rq))
             if (rq.asked.empty()) rq.asked = two(rq, build, false);
         if (rq.asked.size() < 2) return false;
@@ -691,7 +693,6 @@
         if (cutShort && counts && ratio > 1 && v.votesToGoBack >= kPooledVotes)
             arm.slowness.push_back({now, ratio});
         if (end.how == Outcome::cancelled) return;
-        // The pair: a req that failed on one build and was done on the other.
         if (end.how == Outcome::ok && rq.tries.size() > 1) {
             const Try &before = rq.tries[rq.tries.size() - 2];
             if (before.build != t.build && !before.out && before.how == Outcome::error) {
@@ -748,7 +749,6 @@
         double lost = 0, other = 0;
         for (const auto &[r, c] : ours.routes) {
             lost += errorsOnly ? c.errors : c.fails;
-            // the earlier build's failures on our mix of routes
             if (const auto t = theirs.routes.find(r); t != theirs.routes.end() && t->second.n > 0)
                 other += c.n * t->second.fails / t->second.n;
         }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -175,6 +175,7 @@
             start.listMustBeAsked = l.number("ask", 0) > 0, start.askWithin = span(10);
             start.routes[1].repeatWindow = span(l.number("window", 5));
             start.spareTries = l.number("spare", 2);
+            start.crossZoneFee = l.number("fee", 0);
             start.loadByProbe = l.number("probes", 0) > 0, start.gateways = start.loadByProbe ? 99 : 3;
             start.inHandField = start.loadByProbe ? 0 : -1;
             start.votesToGoBack = static_cast<int>(l.number("back", 1)), start.wrongReported = 0.5;
