--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -700,10 +700,10 @@
                 else if (isTrial) ++pairsEarlier;
             }
         }
-        // Not where the earlier build loses as well (errors of all, answers lost): no build's fault; harm:
-        // both bad.
-        if (isTrial && failed && (!t.cold || end.how == Outcome::error) && !earlier.losesMany())
-            lastTrialFailure = now;
+        // One of many has no window to tell by that the earlier build loses as well. Harm: where both are
+        // bad.
+        const bool allLose = v.gateways >= kManyGateways && earlier.losesMany();
+        if (isTrial && failed && (!t.cold || end.how == Outcome::error) && !allLose) lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
         if (isTrial) met.push_back({now, 0});
         if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
