--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -49,8 +49,7 @@
     bool listMustBeAsked = false;
     Span askWithin{};
     double crossZoneFee = 0;
-    bool loadByProbe = false;  // servers report their load to probes, and those are allowed
-    int inHandField = -1;      // place in a load report of the reqs in hand; -1: none
+    int inHandField = -1;  // place of the reqs in hand in a report to a probe; -1: not told, or no probes
     // figures of the rules
     double coldFrom = 1;
     Span warmWithin{};
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -266,6 +266,7 @@
     void log(const std::string &words) { out.push_back(LogLine{words}); }
     void timer() { out.push_back(SetTimer{kTick, 0}); }
     double usualOf(const Req &rq) const { return usual[std::size_t(rq.in.route)]; }
+    bool many() const { return v.gateways >= kManyGateways; }
     double chance() { return double(rng()) / 4294967296.0; }
     std::size_t any(std::size_t n) { return std::size_t(rng() % n); }
 
@@ -308,7 +309,7 @@
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
         // At once where this gateway has shed of late (one of many sheds too seldom to know).
-        const bool full = v.gateways >= kManyGateways || (shedAt != Span{0} && now - shedAt < kFullFor);
+        const bool full = many() || (shedAt != Span{0} && now - shedAt < kFullFor);
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
     }
@@ -414,7 +415,7 @@
     }
     // Exception where servers tell their load to probes and gateways are many, so own in-flight says nothing:
     // the two are asked. Covers uneven gateways, crowded machines. Harm: price and delay.
-    bool asksLoad() const { return v.loadByProbe && v.gateways >= kManyGateways; }
+    bool asksLoad() const { return v.inHandField >= 0 && many(); }
     bool ask(Req &rq) {
         if (!asksLoad()) return false;
         for (const BuildNo build : place(rq))
@@ -427,7 +428,7 @@
     void on(const ProbeEnded &p) {
         const auto at = servers.find(p.server);
         if (at == servers.end()) return;
-        if (v.inHandField >= 0 && std::size_t(v.inHandField) < p.load.size())
+        if (asksLoad() && std::size_t(v.inHandField) < p.load.size())
             at->second.inHand = p.load[std::size_t(v.inHandField)], at->second.inHandAt = now;
         for (auto it = reqs.begin(); it != reqs.end();) {
             const auto here = it++;
@@ -497,8 +498,7 @@
         double ended = 0, good = 0;
         for (const auto &[at, fate] : fates)
             if (fate.first == rq.in.account) ++ended, good += fate.second;
-        const double jam =
-            v.gateways < kManyGateways ? 0 : (ended - kThrottle * good) / (ended + kFewUnderWay);
+        const double jam = !many() ? 0 : (ended - kThrottle * good) / (ended + kFewUnderWay);
         const double part = std::max((expected - from) / kShedSpan, jam);
         if (part <= 0 || chance() >= part) return false;
         shedAt = now;
@@ -536,7 +536,7 @@
     }
 
     void finish(Req &rq, bool inTime) {
-        if (!rq.answered) fates.push_back({now, {rq.in.account, inTime}});
+        if (!rq.answered && many()) fates.push_back({now, {rq.in.account, inTime}});
         rq.answered = true;
     }
     // The final answer of a req that is given up: shed where that is true, errored else.
@@ -702,7 +702,7 @@
         }
         // One of many has no window to tell by that the earlier build loses as well. Harm: where both are
         // bad.
-        const bool allLose = v.gateways >= kManyGateways && earlier.losesMany();
+        const bool allLose = many() && earlier.losesMany();
         if (isTrial && failed && (!t.cold || end.how == Outcome::error) && !allLose) lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
         if (isTrial) met.push_back({now, 0});
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -112,10 +112,11 @@
     v.askWithin = maySpan(safety, "AskWithinS");
     v.crossZoneFee = may<double>(part(from, "Fees"), "CrossZone");
     const json &report = part(from, "Report");
-    v.loadByProbe = may<bool>(limits, "Probes") && may<std::string>(report, "How") == "probe";
+    const bool byProbe = may<bool>(limits, "Probes") && may<std::string>(report, "How") == "probe";
     const auto fields = rows(report, "Fields");
     for (std::size_t k = 0; k < fields.size(); ++k)
-        if (as<std::string>(fields[k], "Fields") == "concurrent") v.inHandField = static_cast<int>(k);
+        if (as<std::string>(fields[k], "Fields") == "concurrent" && byProbe)
+            v.inHandField = static_cast<int>(k);
     v.coldFrom = may<double>(safety, "ColdFrom", 1);
     v.warmWithin = maySpan(safety, "WarmWithinS");
     v.tipMultiple = may<double>(safety, "TipMultiple", 1);
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -176,8 +176,8 @@
             start.routes[1].repeatWindow = span(l.number("window", 5));
             start.spareTries = l.number("spare", 2);
             start.crossZoneFee = l.number("fee", 0);
-            start.loadByProbe = l.number("probes", 0) > 0, start.gateways = start.loadByProbe ? 99 : 3;
-            start.inHandField = start.loadByProbe ? 0 : -1;
+            start.inHandField = l.number("probes", 0) > 0 ? 0 : -1;
+            start.gateways = start.inHandField < 0 ? 3 : 99;
             start.votesToGoBack = static_cast<int>(l.number("back", 1)), start.wrongReported = 0.5;
             if (l.text("gate") == "clock") start.gate = Gate::clock;
             give(Started{start});
