--- /dev/null
+++ b/src/gateway/desk_client.cpp
@@ -0,0 +1,234 @@
+#include "desk_client.hpp"
+
+#include <stdexcept>
+
+namespace deckcart {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMostEntries = 20000;  // of a list: beyond it is no list of a site
+constexpr std::size_t kStartsKept = 4096;    // of instances: those of a site many times over
+
+template <class T> T need(const json &from, const char *name) {
+    try {
+        return from.at(name).get<T>();
+    } catch (const json::exception &) {
+        throw std::invalid_argument(std::string("field ") + name + " is missing or has a wrong type");
+    }
+}
+Span milli(double ms) { return Span{std::llround(ms * 1000)}; }
+double inMs(Span s) { return double(s.count()) / 1000; }
+
+template <class E>
+E named(const json &from, const char *name, std::initializer_list<std::pair<const char *, E>> known) {
+    const auto said = need<std::string>(from, name);
+    for (const auto &[text, value] : known)
+        if (said == text) return value;
+    throw std::invalid_argument(std::string("field ") + name + " holds an unknown word");
+}
+
+}  // namespace
+
+const char *nameOf(Verdict verdict) {
+    switch (verdict) {
+    case Verdict::none: return "none";
+    case Verdict::on: return "on";
+    case Verdict::hold: return "hold";
+    case Verdict::back: return "back";
+    }
+    return "none";
+}
+const char *nameOf(Phase phase) {
+    switch (phase) {
+    case Phase::onTrial: return "on-trial";
+    case Phase::goingBack: return "going-back";
+    case Phase::released: return "released";
+    case Phase::withdrawn: return "withdrawn";
+    }
+    return "released";
+}
+std::optional<Verdict> verdictNamed(const std::string &name) {
+    for (const Verdict v : {Verdict::none, Verdict::on, Verdict::hold, Verdict::back})
+        if (name == nameOf(v)) return v;
+    return std::nullopt;
+}
+
+json toJson(const ListedServer &s) {
+    const char *readiness = s.readiness == Readiness::live       ? "live"
+                            : s.readiness == Readiness::draining ? "draining"
+                                                                 : "gone";
+    json out{{"id", s.id},
+             {"zone", s.zone},
+             {"cell", s.cell},
+             {"build", s.build},
+             {"readiness", readiness},
+             {"weight", s.weight},
+             {"incarnation", s.incarnation}};
+    if (s.age) out["ageMs"] = inMs(*s.age);
+    return out;
+}
+
+ListedServer readListed(const json &from) {
+    ListedServer s;
+    s.id = need<std::string>(from, "id"), s.build = need<int>(from, "build");
+    s.zone = from.value("zone", std::string{}), s.cell = from.value("cell", 0);
+    s.readiness = named<Readiness>(
+        from, "readiness",
+        {{"live", Readiness::live}, {"draining", Readiness::draining}, {"gone", Readiness::gone}});
+    s.weight = from.value("weight", 1.0), s.incarnation = from.value("incarnation", std::string{});
+    if (from.contains("ageMs")) s.age = milli(need<double>(from, "ageMs"));
+    if (!(s.weight > 0) || s.id.empty()) throw std::invalid_argument("field id or weight is out of range");
+    return s;
+}
+
+json toJson(const ToldStage &s) {
+    return {{"build", s.build},
+            {"step", s.step},
+            {"phase", nameOf(s.phase)},
+            {"cap", s.cap},
+            {"sinceMs", inMs(s.since)}};
+}
+
+ToldStage readStage(const json &from) {
+    ToldStage s;
+    s.build = need<int>(from, "build"), s.step = need<int>(from, "step");
+    s.phase = named<Phase>(from, "phase",
+                           {{"on-trial", Phase::onTrial},
+                            {"going-back", Phase::goingBack},
+                            {"released", Phase::released},
+                            {"withdrawn", Phase::withdrawn}});
+    s.cap = need<double>(from, "cap"), s.since = milli(need<double>(from, "sinceMs"));
+    if (!(s.cap >= 0 && s.cap <= 1) || s.step < 0)
+        throw std::invalid_argument("field cap or step is out of range");
+    return s;
+}
+
+DeskClient::DeskClient(asio::io_context &io, const GatewayOrders &with, Now clock, Tell to)
+    : context(io), orders(with), now(std::move(clock)), tell(std::move(to)) {}
+
+DeskClient::~DeskClient() {
+    follow(false);
+    for (const auto &weak : calls)
+        if (const auto call = weak.lock()) call->stop();
+}
+
+http::RequestHead DeskClient::request(const std::string &method, const std::string &target) const {
+    http::RequestHead head;
+    head.method = method, head.target = target;
+    return head;
+}
+
+void DeskClient::follow(bool active) {
+    if (watching) watching->stop(), watching = nullptr;
+    if (listing) listing->stop(), listing = nullptr;
+    if (active) list(true);
+}
+void DeskClient::fetchOnce() { list(false); }
+
+void DeskClient::lost() {
+    follow(false);
+    tell(ListFailed{});
+}
+
+void DeskClient::list(bool thenWatch) {
+    if (!orders.desk) return;
+    auto call =
+        http::Fetch::start(context, orders.desk->address, request("GET", "/v1/fleet?gateway=" + orders.id),
+                           {}, orders.desk->answerWithin, [this, thenWatch](const http::Fetched &got) {
+                               if (thenWatch) listing = nullptr;
+                               try {
+                                   if (!got.ok()) throw std::invalid_argument("no answer");
+                                   const json said = json::parse(got.body);
+                                   const auto at = need<std::uint64_t>(said, "version");
+                                   tellList(need<json>(said, "instances"), true);
+                                   if (said.contains("stage")) tellStage(said["stage"], false, Outcome::ok);
+                                   version = at;
+                                   if (thenWatch) watch();
+                               } catch (const std::exception &) {
+                                   thenWatch ? lost() : tell(ListFailed{});
+                               }
+                           });
+    if (thenWatch) listing = call;
+    calls.push_back(call);
+    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
+}
+
+void DeskClient::watch() {
+    watching = http::Fetch::start(
+        context, orders.desk->address,
+        request("GET", "/v1/fleet?gateway=" + orders.id + "&watch=" + std::to_string(version)), {},
+        orders.desk->silentFor,
+        [this](const http::Fetched &) { lost(); },  // 410 too: the next follow lists anew
+        [this](std::string_view line) {
+            try {
+                took(json::parse(line));
+            } catch (const std::exception &) {
+                lost();  // out of step with the desk: list anew
+            }
+        });
+}
+
+void DeskClient::took(const json &said) {
+    const auto at = need<std::uint64_t>(said, "version");
+    const auto kind = need<std::string>(said, "kind");
+    if (kind == "instances") tellList(need<json>(said, "instances"), false);
+    else if (kind == "stage") tellStage(need<json>(said, "stage"), false, Outcome::ok);
+    else if (kind == "tally") {
+        for (const auto &row : need<json>(said, "tally")) {
+            const auto route = need<int>(row, "route");
+            if (route < 0 || std::size_t(route) >= orders.routes.size()) continue;
+            tell(TallyTold{need<int>(row, "build"), route, need<int>(row, "counted"), need<int>(row, "lost"),
+                           milli(need<double>(row, "meanMs")), milli(need<double>(row, "sinceMs"))});
+        }
+    }
+    version = at;  // bookmarks, and kinds that come later, only move it
+}
+
+void DeskClient::tellList(const json &entries, bool complete) {
+    if (!entries.is_array() || entries.size() > kMostEntries)
+        throw std::invalid_argument("field instances is no list");
+    ListTold list{complete, {}};
+    if (starts.size() > kStartsKept) starts.clear();
+    for (const auto &entry : entries) {
+        const ListedServer s = readListed(entry);
+        ServerEntry e{s.id, orders.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
+        if (s.age) e.startedAt = starts.try_emplace({s.id, s.incarnation}, now() - *s.age).first->second;
+        list.entries.push_back(std::move(e));
+    }
+    tell(std::move(list));
+}
+
+void DeskClient::tellStage(const json &from, bool answersVote, Outcome how) {
+    const ToldStage s = readStage(from);
+    tell(StageNews{answersVote, how, s.build, s.step, s.phase, s.cap, s.since});
+}
+
+void DeskClient::vote(const Vote &vote, Span within) {
+    if (!orders.desk) return;
+    auto head = request("POST", "/v1/votes");
+    head.headers = {{"Content-Type", "application/json"},
+                    {"Idempotency-Key",
+                     orders.id + "-" + std::to_string(now().count()) + "-" + std::to_string(++votesSent)}};
+    const json body{{"gateway", orders.id},
+                    {"build", vote.build},
+                    {"step", vote.step},
+                    {"verdict", nameOf(vote.verdict)}};
+    calls.push_back(http::Fetch::start(
+        context, orders.desk->address, head, body.dump(), within, [this](const http::Fetched &got) {
+            // No answer, or a broken one: the vote may have counted.
+            Outcome how = !got.inTime || got.how != http::CallEnd::complete ? Outcome::timeout
+                          : got.head.status == 409                          ? Outcome::moot
+                          : got.head.status == 429                          ? Outcome::full
+                          : got.ok()                                        ? Outcome::ok
+                                                                            : Outcome::error;
+            try {
+                if (how == Outcome::ok) return tellStage(json::parse(got.body), true, how);
+            } catch (const std::exception &) {
+                how = Outcome::timeout;
+            }
+            tell(StageNews{true, how, 0, 0, Phase::onTrial, 0, {}});
+        }));
+}
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/gateway/desk_client.hpp
@@ -0,0 +1,77 @@
+// What a gateway and the desk say to each other: the list and the stage by list and watch, votes as POST.
+// Turns documents into events; when to follow, to ask again or to vote is the module's business.
+#pragma once
+
+#include <deckcart/policy.hpp>
+#include <functional>
+#include <nlohmann/json.hpp>
+
+#include "../http/fetch.hpp"
+#include "../settings/orders.hpp"
+
+namespace deckcart {
+
+// Reads and writes of the documents, shared with whoever speaks for the desk. Bad ones throw
+// std::invalid_argument with the place.
+struct ListedServer {
+    ServerId id;
+    std::string zone;
+    int cell = 0;
+    BuildNo build = 0;
+    Readiness readiness = Readiness::live;
+    double weight = 1;
+    std::string incarnation;  // another one for each start of the instance
+    std::optional<Span> age;  // since that start, when this was written; empty: long ago
+};
+nlohmann::json toJson(const ListedServer &server);
+ListedServer readListed(const nlohmann::json &from);
+
+struct ToldStage {
+    BuildNo build = 0;
+    int step = 0;
+    Phase phase = Phase::released;
+    double cap = 1;
+    Span since{};
+};
+nlohmann::json toJson(const ToldStage &stage);
+ToldStage readStage(const nlohmann::json &from);
+
+const char *nameOf(Verdict verdict);
+const char *nameOf(Phase phase);
+std::optional<Verdict> verdictNamed(const std::string &name);
+
+class DeskClient {
+  public:
+    using Tell = std::function<void(Event)>;
+    using Now = std::function<Span()>;
+    DeskClient(asio::io_context &context, const GatewayOrders &orders, Now now, Tell tell);
+    ~DeskClient();
+    DeskClient(const DeskClient &) = delete;
+    DeskClient &operator=(const DeskClient &) = delete;
+
+    void follow(bool active);
+    void fetchOnce();
+    void vote(const Vote &vote, Span within);
+
+  private:
+    void list(bool thenWatch);
+    void watch();
+    void took(const nlohmann::json &said);
+    void tellList(const nlohmann::json &entries, bool complete);
+    void tellStage(const nlohmann::json &from, bool answersVote, Outcome how);
+    void lost();
+    http::RequestHead request(const std::string &method, const std::string &target) const;
+
+    asio::io_context &context;
+    const GatewayOrders &orders;
+    Now now;
+    Tell tell;
+    std::uint64_t version = 0, votesSent = 0;
+    std::shared_ptr<http::Fetch> watching, listing;
+    std::vector<std::weak_ptr<http::Fetch>> calls;
+    // When each start of an instance was, on this gateway's clock: it must not move from one telling to the
+    // next.
+    std::map<std::pair<ServerId, std::string>, Span> starts;
+};
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/gateway/gateway.cpp
@@ -0,0 +1,822 @@
+#include "gateway.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "../base/address.hpp"
+
+namespace deckcart {
+
+using asio::ip::udp;
+
+constexpr std::size_t kPassedKept =
+    16384;                               // answers that may be reported wrong: some seconds of a busy gateway
+constexpr std::size_t kNoteBytes = 256;  // of a peers' note: more is refused on both sides
+constexpr int kThawRounds = 200;         // loop turns at most that a standstill's finds are read in
+constexpr auto kSweepEvery = std::chrono::seconds(1);
+constexpr const char *kEndHeader = "Deckcart-End", *kBuildHeader = "Deckcart-Build",
+                     *kRetryHeader = "Deckcart-Retry-Ms";
+
+// One try: the sink of its call, with what of the answer is held back.
+class Gateway::Upstream : public http::CallSink {
+  public:
+    Upstream(Gateway &of, ReqId req, int no) : gateway(of), id(req), tryNo(no) {}
+    void onAnswerHead(const http::AnswerHead &head) override;
+    void onAnswerBody(std::string_view part) override;
+    void onCallEnd(http::CallEnd how) override;
+
+    Gateway &gateway;
+    ReqId id;
+    int tryNo;
+};
+
+struct Gateway::Try {
+    ServerId server;
+    BuildNo build = 0;
+    std::shared_ptr<http::ClientConnection> connection;
+    std::unique_ptr<Upstream> sink;
+    Span sent{}, end{}, progress{};
+    bool over = false, streaming = false;
+    Outcome how = Outcome::ok;
+    http::AnswerHead head;
+    std::string held;
+};
+
+struct Gateway::Req {
+    Req(asio::io_context &io) : timer(io) {}
+    ReqId id = 0;
+    InstanceId record = 0;
+    std::shared_ptr<http::Exchange> exchange;
+    std::size_t rule = 0;
+    std::string name;                  // the client's own id of it
+    Span came{}, clientEnd{}, told{};  // told: the end that the module works to
+    std::vector<Try> tries;
+    bool answered = false;
+    int streaming = -1;  // the try whose answer the client is getting
+    asio::steady_timer timer;
+
+    bool outstanding() const {
+        return std::ranges::any_of(tries, [](const Try &t) { return !t.over; });
+    }
+};
+
+namespace {
+
+std::optional<double> number(const std::string *text) {
+    if (!text) return std::nullopt;
+    double value = 0;
+    const auto [end, fault] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (fault != std::errc{} || end != text->data() + text->size() || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+std::vector<double> loadOf(const http::Head &head, const std::string &name) {
+    std::vector<double> load;
+    const std::string *text = head.find(name);
+    const char *at = text ? text->data() : nullptr, *end = text ? at + text->size() : nullptr;
+    while (at != end && load.size() < 4) {
+        while (at != end && (*at == ' ' || *at == ',')) ++at;
+        double value = 0;
+        const auto [next, fault] = std::from_chars(at, end, value);
+        if (fault != std::errc{}) break;
+        load.push_back(value), at = next;
+    }
+    return load;
+}
+
+const char *nameOf(Outcome how) {
+    switch (how) {
+    case Outcome::ok: return "ok";
+    case Outcome::error: return "error";
+    case Outcome::full: return "full";
+    case Outcome::timeout: return "timeout";
+    case Outcome::connectFailed: return "connect-failed";
+    case Outcome::reset: return "reset";
+    case Outcome::cancelled: return "cancelled";
+    case Outcome::moot: return "moot";
+    }
+    return "moot";
+}
+
+template <class... F> struct Overload : F... { using F::operator()...; };
+template <class... F> Overload(F...) -> Overload<F...>;
+
+}  // namespace
+
+// ---- the calls to instances ----
+
+void Gateway::Upstream::onAnswerHead(const http::AnswerHead &head) {
+    const auto it = gateway.reqs.find(id);
+    if (it == gateway.reqs.end()) return;
+    Try &t = it->second->tries[std::size_t(tryNo)];
+    t.head = head, t.progress = gateway.turn();
+}
+
+void Gateway::Upstream::onAnswerBody(std::string_view part) {
+    if (const auto it = gateway.reqs.find(id); it != gateway.reqs.end())
+        gateway.pass(*it->second, tryNo, part);
+}
+
+void Gateway::Upstream::onCallEnd(http::CallEnd how) {
+    gateway.turn();
+    ++gateway.socketEvents;
+    const auto it = gateway.reqs.find(id);
+    if (it == gateway.reqs.end()) return;
+    Req &rq = *it->second;
+    Try &t = rq.tries[std::size_t(tryNo)];
+    if (how == http::CallEnd::complete) {
+        const bool full = t.head.status == 503 && t.head.find(gateway.given.headers.full);
+        if (t.head.status < 500) return gateway.complete(rq, tryNo);
+        return gateway.later([g = &gateway, req = id, no = tryNo, full] {
+            g->tryEnded(req, no, full ? Outcome::full : Outcome::error);
+        });
+    }
+    // Whether it may have run is told by the bytes that were handed over. An idle connection that closes as
+    // the req goes out has taken them: it may have run.
+    const bool none = how == http::CallEnd::connectFailed || !t.connection->handedOver();
+    const Outcome outcome = none                            ? Outcome::connectFailed
+                            : how == http::CallEnd::garbage ? Outcome::error
+                                                            : Outcome::reset;
+    gateway.later([g = &gateway, req = id, no = tryNo, outcome] { g->tryEnded(req, no, outcome); });
+}
+
+// ---- start and end ----
+
+Gateway::Gateway(asio::io_context &io, const Clock &time, GatewayOrders with, std::uint64_t seeded, Log to,
+                 const asio::ip::tcp::endpoint &listen, ShellFaults wrong)
+    : context(io), clock(time), given(std::move(with)), seed(seeded), log(std::move(to)), faults(wrong),
+      chance(seeded), nextReq((seeded & 0xffffff) << 24), lastSeen(time.now()), pool(io, given), sweeper(io),
+      door(io, listen, given.door, [this](std::shared_ptr<http::Exchange> e) { arrived(std::move(e)); }) {
+    desk = std::make_unique<DeskClient>(
+        context, given, [this] { return turn(); },
+        [this](Event event) {
+            ++socketEvents;
+            later([this, event = std::move(event)] { happened(event); });
+        });
+    startModule();
+    listenToPeers();
+    sweep();
+}
+
+Gateway::~Gateway() {
+    *alive = false;
+    for (const auto &call : probes) call->stop();
+    for (auto &[id, rq] : reqs) {
+        rq->exchange->onGone = nullptr, rq->exchange->onDrained = nullptr;
+        for (Try &t : rq->tries)
+            if (!t.over) t.connection->drop();
+    }
+}
+
+void Gateway::startModule() {
+    ++current;
+    records[current] = 0;
+    StartValues values = given.module;
+    values.seed = seed + std::uint64_t(current) * 0x9e3779b97f4a7c15u;
+    happened(Started{std::move(values)}, current);
+}
+
+void Gateway::remember(const std::vector<ListedServer> &saved) {
+    ListTold known{true, {}};
+    for (const auto &s : saved) {
+        ServerEntry e{s.id, given.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
+        if (s.age) e.startedAt = turn() - *s.age;
+        known.entries.push_back(std::move(e));
+    }
+    happened(known);
+}
+
+bool Gateway::mayRestartModule() const {
+    std::set<BuildNo> builds;
+    for (const auto &[id, e] : list)
+        if (e.readiness == Readiness::live) builds.insert(e.build);
+    return builds.size() <= 1 && (!told || told->phase != Phase::onTrial);
+}
+
+void Gateway::apply(GatewayOrders orders, bool newModule) {
+    const bool deskMoved = orders.desk.has_value() != given.desk.has_value() ||
+                           (orders.desk && orders.desk->address != given.desk->address);
+    // A req in hand keeps its rule's number: rules only change with the module, which then starts anew.
+    given = std::move(orders);
+    door.limit(given.door);
+    if (newModule) {
+        const InstanceId before = current;
+        startModule();
+        ListTold known{true, {}};
+        for (const auto &[id, e] : list) known.entries.push_back(e);
+        happened(known, current);
+        if (told)
+            happened(
+                StageNews{false, Outcome::ok, told->build, told->step, told->phase, told->cap, told->since},
+                current);
+        if (records[before] == 0) records.erase(before), happened(Stopped{}, before);
+    }
+    if (deskMoved) desk->follow(true);
+    listenToPeers();
+}
+
+void Gateway::drain(std::function<void()> done) {
+    drained = std::move(done);
+    door.drain();
+    if (unanswered == 0 && drained) asio::post(context, std::exchange(drained, nullptr));
+}
+
+// ---- time ----
+
+// Every way in passes here. A turn much later than the one before means that this process stood still: what
+// it finds came meanwhile, and its own lateness is no instance's latency. So the module's clock stays at the
+// last turn until all that has come is read; only then it jumps. What is past its end is answered before
+// anything else.
+Span Gateway::turn() {
+    const Span real = clock.now();
+    const Span gap = real - lastSeen;
+    lastSeen = std::max(real, lastSeen);
+    if (!frozen && gap > given.standstill) {
+        frozen = true, frozenAt = real - gap;
+        ++counted.standstills;
+        log.warn("standstill", {{"ms", milliseconds(gap)}});
+        std::vector<ReqId> overdue;
+        for (const auto &[id, rq] : reqs)
+            if (!rq->answered && rq->streaming < 0 && real >= rq->told) overdue.push_back(id);
+        for (const ReqId id : overdue) {
+            ++counted.overdue;
+            finish(*reqs.at(id), "errored", 504, Span{0});
+            later([this, id] { clientGone(id); });
+        }
+        thawSoon(0);
+    }
+    return frozen ? frozenAt : lastSeen;
+}
+
+void Gateway::thawSoon(int rounds) {
+    asio::post(context, [this, rounds, here = std::weak_ptr(alive), before = socketEvents] {
+        if (here.expired()) return;
+        // Two quiet turns: the loop has looked at all sockets and found no more.
+        if (rounds < 2 || (socketEvents != before && rounds < kThawRounds)) return thawSoon(rounds + 1);
+        thaw();
+    });
+}
+
+void Gateway::thaw() {
+    frozen = false;
+    lastSeen = clock.now();
+    for (const auto &what : std::exchange(waiting, {})) what();
+}
+
+void Gateway::later(std::function<void()> what) {
+    turn();
+    if (frozen) waiting.push_back(std::move(what));
+    else what();
+}
+
+// ---- reqs from clients ----
+
+void Gateway::arrived(std::shared_ptr<http::Exchange> exchange) {
+    turn();
+    ++socketEvents;
+    const auto &head = exchange->head;
+    const std::string path = head.target.substr(0, head.target.find('?'));
+    std::size_t rule = 0;
+    while (rule < given.routes.size() &&
+           !((given.routes[rule].method.empty() || given.routes[rule].method == head.method) &&
+             path.starts_with(given.routes[rule].pathPrefix)))
+        ++rule;
+    const auto refuse = [&](int status, const char *end, const char *words, std::vector<http::Header> more) {
+        http::AnswerHead answer;
+        answer.status = status, answer.headers = std::move(more);
+        answer.headers.insert(answer.headers.end(), {{kEndHeader, end}, {"Content-Type", "text/plain"}});
+        exchange->answer(std::move(answer), words);
+    };
+    if (given.routes.empty()) return refuse(503, "shed", "no settings yet\n", {{"Retry-After", "1"}});
+    if (rule == given.routes.size()) {
+        ++counted.unrouted;
+        return refuse(404, "errored", "no route takes this\n", {});
+    }
+    if (unanswered >= given.reqsInHand) {
+        ++counted.turnedAway;
+        return refuse(503, "shed", "too many reqs in hand\n", {{"Retry-After", "1"}});
+    }
+    // What is read after a standstill came at some time during it: the earliest is taken, as its client may
+    // wait since.
+    const Span came = frozen ? frozenAt : lastSeen;
+    Span most = given.routes[rule].routeTimeout;
+    if (const auto left = number(head.find(given.headers.remaining)); left && *left >= 0)
+        most = std::min(most, Span{std::llround(std::min(*left, 1e9) * 1000)});
+    ++unanswered;  // in hand from here on
+    later([this, exchange = std::move(exchange), rule, came, most] {
+        take(exchange, rule, came, came + most);
+    });
+}
+
+void Gateway::take(std::shared_ptr<http::Exchange> exchange, std::size_t rule, Span came, Span clientEnd) {
+    const ReqId id = ++nextReq & ((ReqId{1} << 52) - 1);
+    auto made = std::make_unique<Req>(context);
+    Req &rq = *made;
+    rq.id = id, rq.record = current, rq.exchange = std::move(exchange), rq.rule = rule;
+    rq.came = came, rq.clientEnd = clientEnd, rq.told = clientEnd - given.answerMargin;
+    const auto &head = rq.exchange->head;
+    const auto text = [&](const std::string &name) {
+        const std::string *found = head.find(name);
+        return found ? *found : std::string{};
+    };
+    ReqArrived in;
+    in.req = id, in.key = text(given.headers.key), in.route = int(rule), in.notAfter = rq.told;
+    const auto account = std::ranges::find(given.accounts, text(given.headers.account));
+    // One that is not named is past the end of the shares: it has none, and no excess either.
+    in.account = given.accounts.empty() ? 0 : int(account - given.accounts.begin());
+    in.repeat = head.find(given.headers.repeat) != nullptr;
+    if (const auto hint = number(head.find(given.headers.workHint)); hint && *hint >= 0 && *hint < 1e9)
+        in.workHint = Span{std::llround(*hint * 1000)};
+    rq.name = text(given.headers.reqId);
+    if (rq.name.empty()) rq.name = given.id + "-" + std::to_string(id);
+    reqs.emplace(id, std::move(made));
+    ++records[current], ++counted.taken;
+    if (!rq.exchange->open()) {  // its client left while the clock stood
+        rq.answered = true, --unanswered, ++counted.gone;
+        return forget(rq);
+    }
+    if (lastSeen >= rq.told) {  // nothing was sent for it: saying so lets the client come back
+        finish(rq, "shed", 503, given.module.longestRetryAfter);
+        return forget(rq);
+    }
+    rq.exchange->onGone = [this, id] {
+        turn();
+        ++socketEvents;
+        later([this, id] { clientGone(id); });
+    };
+    watchDeadline(rq);
+    happened(std::move(in), rq.record);
+}
+
+void Gateway::clientGone(ReqId id) {
+    const auto it = reqs.find(id);
+    if (it == reqs.end()) return;
+    Req &rq = *it->second;
+    if (!rq.answered) {
+        rq.answered = true, --unanswered, ++counted.gone;
+        logReq(rq, "gone", 0);
+    }
+    happened(ReqGone{id}, rq.record);
+    // A stream has no reader any more; other tries end by the module's word, or by their time.
+    const auto again = reqs.find(id);
+    if (again == reqs.end()) return;
+    if (rq.streaming >= 0 && !rq.tries[std::size_t(rq.streaming)].over)
+        return tryEnded(id, rq.streaming, Outcome::cancelled);
+    if (!rq.outstanding()) forget(rq);
+}
+
+void Gateway::watchDeadline(Req &rq) {
+    Span end = rq.told;
+    for (const Try &t : rq.tries)
+        if (!t.over) end = std::min(end, t.end);
+    rq.timer.expires_after(std::max(Span{0}, end - lastSeen));
+    rq.timer.async_wait([this, id = rq.id, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (fault || here.expired()) return;
+        later([this, id] { deadline(id); });
+    });
+}
+
+void Gateway::deadline(ReqId id) {
+    const auto it = reqs.find(id);
+    if (it == reqs.end()) return;
+    Req &rq = *it->second;
+    const Span at = lastSeen;
+    for (std::size_t k = 0; k < rq.tries.size(); ++k)
+        if (!rq.tries[k].over && !rq.tries[k].streaming && at >= std::min(rq.tries[k].end, rq.told)) {
+            tryEnded(id, int(k), Outcome::timeout);
+            if (!reqs.contains(id)) return;
+        }
+    if (rq.answered || rq.streaming >= 0) return;
+    if (at < rq.told) return watchDeadline(rq);
+    if (at < rq.told + given.answerMargin / 2) {  // the module's own turn to answer
+        rq.timer.expires_after(rq.told + given.answerMargin / 2 - at);
+        rq.timer.async_wait([this, id, here = std::weak_ptr(alive)](asio::error_code fault) {
+            if (!fault && !here.expired()) later([this, id] { deadline(id); });
+        });
+        return;
+    }
+    // Guards the client against a module that holds a req too long: it never should.
+    ++counted.overdue;
+    finish(rq, "errored", 504, Span{0});
+    clientGone(id);
+}
+
+void Gateway::finish(Req &rq, const char *end, int status, Span retryIn) {
+    if (rq.answered) return;
+    rq.answered = true, --unanswered;
+    const bool shed = end[0] == 's';
+    ++(shed ? counted.shed : counted.errored);
+    if (rq.streaming >= 0) {
+        rq.exchange->abort();
+    } else {
+        http::AnswerHead answer;
+        answer.status = status;
+        answer.headers = {{kEndHeader, end}, {given.headers.reqId, rq.name}, {"Content-Type", "text/plain"}};
+        if (shed) {
+            const auto ms = std::max<std::int64_t>(retryIn.count() / 1000, 0);
+            answer.headers.push_back({"Retry-After", std::to_string((ms + 999) / 1000)});
+            answer.headers.push_back({kRetryHeader, std::to_string(ms)});
+        }
+        rq.exchange->answer(std::move(answer), std::string(end) + "\n");
+    }
+    logReq(rq, end, status);
+    if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
+}
+
+void Gateway::logReq(const Req &rq, const char *end, int status) {
+    if (!log.on() || given.reqSample <= 0 || std::generate_canonical<double, 32>(chance) >= given.reqSample)
+        return;
+    nlohmann::json tries = nlohmann::json::array();
+    for (const Try &t : rq.tries)
+        tries.push_back(
+            {{"instance", t.server}, {"build", t.build}, {"outcome", t.over ? nameOf(t.how) : "out"}});
+    log.info("req", {{"req", rq.name},
+                     {"route", given.routes[rq.rule].name},
+                     {"end", end},
+                     {"status", status},
+                     {"tries", std::move(tries)},
+                     {"ms", milliseconds(lastSeen - rq.came)}});
+}
+
+void Gateway::forget(Req &rq) {
+    if (rq.outstanding() || !rq.answered) return;
+    const InstanceId record = rq.record;
+    rq.exchange->onGone = nullptr, rq.exchange->onDrained = nullptr;
+    reqs.erase(rq.id);
+    if (--records[record] == 0 && record != current) records.erase(record), happened(Stopped{}, record);
+    if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
+}
+
+// ---- events in, actions out ----
+
+void Gateway::happened(Event event) {
+    if (const auto *l = std::get_if<ListTold>(&event)) note(*l);
+    if (const auto *s = std::get_if<StageNews>(&event); s && s->how == Outcome::ok) {
+        const ToldStage now{s->build, s->step, s->phase, s->cap, s->since};
+        if (!told || told->build != now.build || told->step != now.step || told->phase != now.phase)
+            log.info(
+                "stage",
+                {{"build", now.build}, {"step", now.step}, {"phase", nameOf(now.phase)}, {"cap", now.cap}});
+        told = now;
+    }
+    for (const auto &[record, n] : records) queue.emplace_back(record, event);
+    decide();
+}
+
+void Gateway::happened(Event event, InstanceId record) {
+    queue.emplace_back(record, std::move(event));
+    decide();
+}
+
+void Gateway::decide() {
+    if (deciding) return;  // below it: the queue goes on there
+    deciding = true;
+    while (!queue.empty()) {
+        const InstanceId record = queue.front().first;
+        one.clear();
+        one.push_back(std::move(queue.front().second));
+        queue.pop_front();
+        const Span now = turn();
+        const auto from = std::chrono::steady_clock::now();
+        const auto actions = policy.decide(record, now, one);
+        counted.deciding += std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - from);
+        ++counted.decisions, ++counted.events;
+        for (const auto &action : actions) carryOut(record, action);
+    }
+    deciding = false;
+}
+
+void Gateway::carryOut(InstanceId record, const Action &action) {
+    std::visit(
+        Overload{
+            [&](const SendTry &a) { send(record, a); },
+            [&](const CancelTry &a) {
+                const auto it = reqs.find(a.req);
+                if (it == reqs.end() || std::size_t(a.tryNo) >= it->second->tries.size()) return;
+                // An answer that the client is getting is not withdrawn.
+                const Try &t = it->second->tries[std::size_t(a.tryNo)];
+                if (!t.over && !(t.streaming && !it->second->answered))
+                    tryEnded(a.req, a.tryNo, Outcome::cancelled);
+            },
+            [&](const Shed &a) {
+                const auto it = reqs.find(a.req);
+                if (it == reqs.end()) return;
+                finish(*it->second, "shed", 503, a.retryIn);
+                forget(*it->second);
+            },
+            [&](const EndErrored &a) {
+                const auto it = reqs.find(a.req);
+                if (it == reqs.end()) return;
+                const auto &tries = it->second->tries;
+                const bool late = !tries.empty() && (tries.back().how == Outcome::timeout ||
+                                                     tries.back().how == Outcome::cancelled);
+                finish(*it->second, "errored", late ? 504 : 502, Span{0});
+                forget(*it->second);
+            },
+            [&](const SetTimer &a) {
+                const auto timer = std::make_shared<asio::steady_timer>(context, a.after);
+                timer->async_wait([this, record, token = a.token, timer,
+                                   here = std::weak_ptr(alive)](asio::error_code fault) {
+                    if (!fault && !here.expired())
+                        later([this, record, token] { happened(TimerFired{token}, record); });
+                });
+            },
+            [&](const Probe &a) { probe(record, a); },
+            [&](const CloseIdle &a) { pool.closeIdle(a.server); },
+            [&](const TellPeers &a) { tellPeers(a); },
+            [&](const FollowList &a) {
+                if (record == current) desk->follow(a.active);
+            },
+            [&](const FetchList &) { desk->fetchOnce(); },
+            [&](const Vote &a) {
+                if (record != current) return;  // one vote a gateway
+                log.info("vote", {{"build", a.build}, {"step", a.step}, {"verdict", nameOf(a.verdict)}});
+                desk->vote(a, given.module.voteAnswerWithin);
+            },
+            [&](const LogLine &a) {
+                log.info("module", {{"words", a.words}});
+            },
+        },
+        action);
+}
+
+void Gateway::send(InstanceId record, const SendTry &what) {
+    const auto it = reqs.find(what.req);
+    if (it == reqs.end()) return;
+    Req &rq = *it->second;
+    const int no = int(rq.tries.size());
+    ServerId server = what.server;
+    if (faults.sendsAfterDrain && !lastServer.empty()) server = lastServer;
+    lastServer = server;
+    const auto moot = [&](Outcome how) {
+        Try none;
+        none.server = what.server, none.over = true, none.how = how, none.sent = turn();
+        rq.tries.push_back(std::move(none));
+        TryEnded end{what.req, no, rq.answered, how, what.server, Span{0}, {}};
+        happened(std::move(end), record);
+    };
+    // The req is over, or bound to an answer that has begun, or its end has passed on the real clock.
+    if (rq.answered || rq.streaming >= 0 || lastSeen >= rq.told) return moot(Outcome::moot);
+    const auto to = parseAddress(server);
+    const auto connection = to ? pool.take(server) : nullptr;
+    if (!connection) return moot(Outcome::connectFailed);  // no address, or its connections are all in use
+    ++counted.tries;
+    Try t;
+    t.server = server, t.connection = connection, t.sent = turn(), t.progress = t.sent;
+    t.end = what.limit > Span{0} ? t.sent + what.limit : rq.told;
+    if (const auto entry = list.find(server); entry != list.end()) t.build = entry->second.build;
+    t.sink = std::make_unique<Upstream>(*this, rq.id, no);
+
+    const auto &in = rq.exchange->head;
+    http::RequestHead head;
+    head.method = in.method, head.target = in.target;
+    head.headers.reserve(in.headers.size() + 3);
+    for (const auto &h : in.headers)
+        if (http::travels(in, h.first) && !http::sameName(h.first, given.headers.remaining))
+            head.headers.push_back(h);
+    if (!in.find(given.headers.reqId)) head.headers.push_back({given.headers.reqId, rq.name});
+    // What is left of the client's wait, as it is now.
+    head.headers.push_back(
+        {given.headers.remaining, std::to_string((rq.clientEnd - lastSeen).count() / 1000)});
+    head.headers.push_back({"Via", "1.1 deckcart"});
+    if (!rq.exchange->body.empty() || in.length || in.chunked) head.length = rq.exchange->body.size();
+    const std::string bytes = http::write(head) + rq.exchange->body;
+    Upstream *sink = t.sink.get();
+    const bool timed = what.limit > Span{0};
+    rq.tries.push_back(std::move(t));
+    connection->call(*to, given.upstream.connectWithin, bytes, in.method == "HEAD", sink);
+    if (timed) watchDeadline(rq);
+}
+
+void Gateway::tryEnded(ReqId id, int tryNo, Outcome how) {
+    const auto it = reqs.find(id);
+    if (it == reqs.end()) return;
+    Req &rq = *it->second;
+    Try &t = rq.tries[std::size_t(tryNo)];
+    if (t.over) return;
+    t.over = true, t.how = how;
+    // Nothing may come of a try whose outcome has been told: a connection in the middle of one is closed.
+    if (!t.connection->reusable()) t.connection->drop();
+    pool.give(t.server, t.connection, lastSeen);
+    t.held.clear();
+    bool over = rq.answered;
+    if (rq.streaming == tryNo && !rq.answered) {
+        // The answer broke off in the middle: only a cut connection tells the client.
+        finish(rq, "errored", 502, Span{0});
+        over = true;
+    }
+    if (faults.repeatsNonRetriable && how == Outcome::reset && !rq.answered) {
+        const auto again = pool.take(t.server);
+        if (const auto to = parseAddress(t.server); to && again) {
+            http::RequestHead head;
+            head.method = rq.exchange->head.method, head.target = rq.exchange->head.target;
+            head.headers = rq.exchange->head.headers, head.length = rq.exchange->body.size();
+            http::Fetch::start(context, *to, head, rq.exchange->body, given.upstream.stalledFor, nullptr);
+            pool.give(t.server, again, lastSeen);
+        }
+    }
+    const Span took = turn() - t.sent;
+    happened(
+        TryEnded{id, tryNo, over, how, t.server, std::max(Span{0}, took), loadOf(t.head, given.headers.load)},
+        rq.record);
+    if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
+}
+
+// A part of an answer: held back while it is short enough to be passed on whole, else streamed as it comes.
+void Gateway::pass(Req &rq, int tryNo, std::string_view part) {
+    turn();
+    ++socketEvents;
+    Try &t = rq.tries[std::size_t(tryNo)];
+    t.progress = lastSeen;
+    if (t.head.status >= 500) return;  // an error's body goes nowhere: the req may still be done elsewhere
+    if (!t.streaming) {
+        t.held.append(part);
+        if (t.held.size() <= given.upstream.heldAnswerBytes || rq.answered || rq.streaming >= 0) {
+            if (t.held.size() > given.upstream.heldAnswerBytes) t.held.clear();  // nobody will get it
+            return;
+        }
+        rq.streaming = tryNo, t.streaming = true;
+        rq.timer.cancel();
+        http::AnswerHead head = t.head;
+        std::erase_if(head.headers, [&](const http::Header &h) { return !http::travels(t.head, h.first); });
+        head.chunked = !head.length;
+        head.headers.push_back({kEndHeader, "completed"});
+        head.headers.push_back({kBuildHeader, std::to_string(t.build)});
+        const ReqId id = rq.id;
+        rq.exchange->onDrained = [this, id, tryNo] {
+            const auto it = reqs.find(id);
+            if (it == reqs.end()) return;
+            Try &paused = it->second->tries[std::size_t(tryNo)];
+            if (!paused.over) paused.progress = turn(), paused.connection->resume();
+        };
+        rq.exchange->begin(std::move(head));
+        rq.exchange->write(std::exchange(t.held, {}));
+        later([this, id, tryNo, record = rq.record] { happened(AnswerBegan{id, tryNo}, record); });
+    } else rq.exchange->write(part);
+    // A reader slower than the instance holds the instance back, not this process's memory.
+    if (rq.exchange->waiting() > given.door.waitingBytes) t.connection->pause();
+}
+
+void Gateway::complete(Req &rq, int tryNo) {
+    Try &t = rq.tries[std::size_t(tryNo)];
+    if (t.over) return;
+    t.over = true, t.how = Outcome::ok;
+    pool.give(t.server, t.connection, lastSeen);
+    const bool first = !rq.answered && (rq.streaming < 0 || rq.streaming == tryNo);
+    if (first) {
+        if (rq.streaming == tryNo) rq.exchange->end();
+        else {
+            http::AnswerHead head = t.head;
+            std::erase_if(head.headers,
+                          [&](const http::Header &h) { return !http::travels(t.head, h.first); });
+            head.headers.push_back({kEndHeader, "completed"});
+            head.headers.push_back({kBuildHeader, std::to_string(t.build)});
+            if (rq.exchange->head.method == "HEAD" && t.head.length) {
+                const auto stated = t.head.length;
+                head.length = stated;
+                rq.exchange->begin(std::move(head));
+                rq.exchange->end();
+            } else rq.exchange->answer(std::move(head), t.held);
+        }
+        if (faults.answersTwice) rq.exchange->writeBehind("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        rq.answered = true, --unanswered, ++counted.completed;
+        logReq(rq, "completed", t.head.status);
+        if (passed.try_emplace(rq.name, Passed{t.server, int(rq.rule), t.sent}).second)
+            passedOrder.push_back(rq.name);
+        if (passedOrder.size() > kPassedKept) passed.erase(passedOrder.front()), passedOrder.pop_front();
+    }
+    const ReqId id = rq.id;
+    t.held = {};
+    const Span took = turn() - t.sent;
+    happened(TryEnded{id, tryNo, true, Outcome::ok, t.server, std::max(Span{0}, took),
+                      loadOf(t.head, given.headers.load)},
+             rq.record);
+    if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
+}
+
+// ---- probes, peers, lists ----
+
+void Gateway::probe(InstanceId record, const Probe &what) {
+    const auto to = parseAddress(what.server);
+    const Span sent = turn();
+    if (!to) {
+        later([=, this] { happened(ProbeEnded{what.server, Outcome::connectFailed, Span{0}, {}}, record); });
+        return;
+    }
+    http::RequestHead head;
+    head.method = "GET", head.target = given.upstream.probePath;
+    std::erase_if(probes, [](const auto &call) { return call.use_count() == 1; });
+    probes.push_back(http::Fetch::start(
+        context, *to, head, {}, given.upstream.probeWithin, [=, this](const http::Fetched &got) {
+            ++socketEvents;
+            const Outcome how = !got.inTime                               ? Outcome::timeout
+                                : got.how == http::CallEnd::connectFailed ? Outcome::connectFailed
+                                : got.how == http::CallEnd::broken        ? Outcome::reset
+                                : got.ok()                                ? Outcome::ok
+                                                                          : Outcome::error;
+            later([=, this, load = loadOf(got.head, given.headers.load)] {
+                happened(ProbeEnded{what.server, how, turn() - sent, load}, record);
+            });
+        }));
+}
+
+// A note: who it is from in two bytes, network order, then the module's bytes.
+void Gateway::tellPeers(const TellPeers &what) {
+    if (!notes || what.bytes.size() > kNoteBytes) return;
+    std::string bytes{char(given.index >> 8 & 0xff), char(given.index & 0xff)};
+    bytes += what.bytes;
+    for (const auto &peer : given.peers) {
+        if (what.peer && *what.peer != peer.index) continue;
+        asio::error_code ignored;  // notes may be lost; the module knows it
+        notes->send_to(asio::buffer(bytes), udp::endpoint(peer.address.address(), peer.address.port()), 0,
+                       ignored);
+    }
+}
+
+void Gateway::listenToPeers() {
+    asio::error_code fault;
+    if (!given.notes) return void(notes.reset());
+    const udp::endpoint wanted(given.notes->address(), given.notes->port());
+    if (notes && notes->local_endpoint(fault) == wanted) return;
+    notes.emplace(context);
+    notes->open(wanted.protocol(), fault);
+    if (!fault) notes->bind(wanted, fault);
+    if (!fault) notes->non_blocking(true, fault);
+    if (fault) {
+        log.warn("peers", {{"listen", format(*given.notes)}, {"fault", fault.message()}});
+        return void(notes.reset());
+    }
+    const auto receive = [this](const auto &self) -> void {
+        notes->async_receive_from(
+            asio::buffer(noteBytes), noteFrom, [this, self](asio::error_code bad, std::size_t n) {
+                if (bad == asio::error::operation_aborted || !notes) return;
+                const int from = n >= 2 ? static_cast<unsigned char>(noteBytes[0]) << 8 |
+                                              static_cast<unsigned char>(noteBytes[1])
+                                        : -1;
+                const auto known = std::ranges::find(given.peers, from, &Peer::index);
+                // Only from where that peer is said to be, and no longer than a note may be.
+                if (!bad && known != given.peers.end() && n <= kNoteBytes + 2 &&
+                    known->address.address() == noteFrom.address() &&
+                    known->address.port() == noteFrom.port())
+                    later([this, from, bytes = std::string(noteBytes.data() + 2, n - 2)] {
+                        happened(PeerNote{from, bytes});
+                    });
+                self(self);
+            });
+    };
+    receive(receive);
+}
+
+void Gateway::note(const ListTold &told_) {
+    if (told_.complete) list.clear();
+    for (const auto &e : told_.entries) {
+        if (e.readiness == Readiness::gone) list.erase(e.id);
+        else list[e.id] = e;
+        if (e.readiness != Readiness::live) pool.closeIdle(e.id);
+    }
+    if (onListed) onListed();
+}
+
+std::vector<ListedServer> Gateway::listed() const {
+    std::vector<ListedServer> out;
+    for (const auto &[id, e] : list) {
+        ListedServer s;
+        s.id = id, s.cell = e.cell, s.build = e.build, s.readiness = e.readiness, s.weight = e.weight;
+        if (std::size_t(e.zone) < given.zones.size()) s.zone = given.zones[std::size_t(e.zone)];
+        if (e.startedAt) s.age = lastSeen - *e.startedAt;
+        out.push_back(std::move(s));
+    }
+    return out;
+}
+
+bool Gateway::wrongAnswer(const std::string &reqId) {
+    const auto it = passed.find(reqId);
+    if (it == passed.end()) return false;
+    const Passed what = it->second;
+    later([this, what] { happened(WrongReported{what.server, what.route, turn() - what.sent}); });
+    return true;
+}
+
+void Gateway::sweep() {
+    const Span now = turn();
+    if (!frozen) {
+        pool.sweep(now);
+        std::vector<std::pair<ReqId, int>> stalled;
+        for (const auto &[id, rq] : reqs)
+            if (rq->streaming >= 0) {
+                const Try &t = rq->tries[std::size_t(rq->streaming)];
+                const bool slowReader = rq->exchange->waiting() > 0;  // the door ends those
+                if (!t.over && !slowReader && now - t.progress > given.upstream.stalledFor)
+                    stalled.push_back({id, rq->streaming});
+            }
+        for (const auto &[id, no] : stalled) tryEnded(id, no, Outcome::timeout);
+    }
+    sweeper.expires_after(kSweepEvery);
+    sweeper.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (!fault && !here.expired()) sweep();
+    });
+}
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/gateway/gateway.hpp
@@ -0,0 +1,148 @@
+// The data path: turns what crosses its sockets into the events of deckcart/policy.hpp and carries out the
+// actions. It picks no server, limit or time-out of its own. One thread, one io_context, one gateway.
+#pragma once
+
+#include <asio.hpp>
+#include <deckcart/policy.hpp>
+#include <deque>
+#include <random>
+#include <unordered_map>
+
+#include "../base/clock.hpp"
+#include "../base/log.hpp"
+#include "../http/client.hpp"
+#include "../http/server.hpp"
+#include "../settings/orders.hpp"
+#include "desk_client.hpp"
+#include "pool.hpp"
+
+namespace deckcart {
+
+// Faults of the shell that a rehearsal asks for, to show that its auditor finds them. Never set in service.
+struct ShellFaults {
+    bool sendsAfterDrain = false;      // goes on sending where it last sent, whatever the list says
+    bool answersTwice = false;         // writes a second answer behind each first one
+    bool repeatsNonRetriable = false;  // sends a try of a non-retriable req again by itself
+};
+
+struct GatewayCounts {
+    std::uint64_t taken = 0, completed = 0, shed = 0, errored = 0, gone = 0;
+    std::uint64_t tries = 0, overdue = 0, standstills = 0, turnedAway = 0, unrouted = 0;
+    std::uint64_t decisions = 0, events = 0;
+    Span deciding{};  // spent in the module
+};
+
+class Gateway {
+  public:
+    Gateway(asio::io_context &context, const Clock &clock, GatewayOrders orders, std::uint64_t seed, Log log,
+            const asio::ip::tcp::endpoint &listen, ShellFaults faults = {});
+    ~Gateway();
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+
+    // The list of before, told to the module as its last known one. Call it before the first req.
+    void remember(const std::vector<ListedServer> &saved);
+    // Takes new orders while reqs go on. A new start of the module (newModule) takes the reqs that come from
+    // now on; those in hand end under the old one. Only where one build is listed: see mayRestartModule().
+    void apply(GatewayOrders orders, bool newModule);
+    // A module that starts anew knows no key that stays and no tries of the exposure span.
+    bool mayRestartModule() const;
+    // Refuses new reqs, finishes those in hand, then calls back.
+    void drain(std::function<void()> done);
+    bool
+    wrongAnswer(const std::string &reqId);  // a client's report on an answer it got here; false: not known
+
+    asio::ip::tcp::endpoint address() const { return door.address(); }
+    const GatewayCounts &counts() const { return counted; }
+    std::size_t inHand() const { return reqs.size(); }
+    std::size_t connections() const { return door.connections(); }
+    const GatewayOrders &orders() const { return given; }
+    std::vector<ListedServer> listed() const;
+    std::optional<ToldStage> stage() const { return told; }
+    std::function<void()> onListed;  // the list has changed
+
+  private:
+    struct Try;
+    struct Req;
+    class Upstream;
+
+    // ---- time: a stopped clock is found here ----
+    Span turn();
+    void thawSoon(int rounds);
+    void thaw();
+    void later(std::function<void()> what);  // now, or once what came during a standstill is told
+
+    void arrived(std::shared_ptr<http::Exchange> exchange);
+    void take(std::shared_ptr<http::Exchange> exchange, std::size_t rule, Span came, Span clientEnd);
+    void clientGone(ReqId id);
+    void watchDeadline(Req &rq);
+    void deadline(ReqId id);
+    void happened(Event event, InstanceId record);
+    void happened(Event event);  // to every record
+    void decide();
+    void carryOut(InstanceId record, const Action &action);
+    void send(InstanceId record, const SendTry &what);
+    void tryEnded(ReqId id, int tryNo, Outcome how);
+    void pass(Req &rq, int tryNo, std::string_view part);
+    void complete(Req &rq, int tryNo);
+    void finish(Req &rq, const char *end, int status, Span retryIn);
+    void forget(Req &rq);
+    void probe(InstanceId record, const Probe &what);
+    void tellPeers(const TellPeers &what);
+    void listenToPeers();
+    void sweep();
+    void note(const ListTold &list);
+    void startModule();
+    void logReq(const Req &rq, const char *end, int status);
+
+    asio::io_context &context;
+    const Clock &clock;
+    GatewayOrders given;
+    std::uint64_t seed;
+    Log log;
+    ShellFaults faults;
+    std::mt19937_64 chance;
+
+    Policy policy;
+    InstanceId current = 0;                     // the record that takes new reqs
+    std::map<InstanceId, std::size_t> records;  // reqs in hand of each
+    std::deque<std::pair<InstanceId, Event>> queue;
+    std::vector<Event> one;  // the event in hand
+    bool deciding = false;
+
+    std::unordered_map<ReqId, std::unique_ptr<Req>> reqs;
+    ReqId nextReq = 0;
+    std::size_t unanswered = 0;  // of reqs in hand
+
+    Span lastSeen{}, frozenAt{};
+    bool frozen = false;
+    std::uint64_t socketEvents = 0;
+    std::vector<std::function<void()>> waiting;  // for the thaw
+
+    std::map<ServerId, ServerEntry> list;  // as last told, for who asks and for the snapshot
+    std::optional<ToldStage> told;
+    Pool pool;
+    std::unique_ptr<DeskClient> desk;
+    std::vector<std::shared_ptr<http::Fetch>> probes;
+
+    struct Passed {
+        ServerId server;
+        int route = 0;
+        Span sent{};
+    };
+    std::unordered_map<std::string, Passed> passed;  // answers that a client may still report
+    std::deque<std::string> passedOrder;
+
+    std::optional<asio::ip::udp::socket> notes;
+    std::array<char, 512> noteBytes{};
+    asio::ip::udp::endpoint noteFrom;
+
+    asio::steady_timer sweeper;
+    GatewayCounts counted;
+    std::function<void()> drained;
+    ServerId lastServer;  // for the fault that sends after a drain
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    http::Door door;  // last: it calls into all of the above
+};
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/http/fetch.hpp
@@ -0,0 +1,51 @@
+// One call to a server of ours: the desk, an instance's probe, a gateway's API. Ends within a stated time,
+// with the whole answer; or, as a watch, tells line by line and ends when the peer has been silent for that
+// time.
+#pragma once
+
+#include "client.hpp"
+
+namespace deckcart::http {
+
+struct Fetched {
+    bool inTime = true;
+    CallEnd how = CallEnd::complete;
+    AnswerHead head;
+    std::string body;  // not of a watch whose status is 200
+
+    bool ok() const { return inTime && how == CallEnd::complete && head.status / 100 == 2; }
+};
+
+class Fetch : public std::enable_shared_from_this<Fetch>, private CallSink {
+  public:
+    using Done = std::function<void(const Fetched &)>;
+    using Line = std::function<void(std::string_view)>;
+
+    // Calls back exactly once, never from within start(), unless stopped before. The host field is written
+    // here.
+    static std::shared_ptr<Fetch> start(asio::io_context &context, const asio::ip::tcp::endpoint &to,
+                                        RequestHead head, const std::string &body, Span within, Done done,
+                                        Line line = nullptr);
+    void stop();  // no call back any more
+    // For tests and load: what is known of whether bytes were handed over.
+    bool handedOver() const { return connection->handedOver(); }
+
+  private:
+    explicit Fetch(asio::io_context &context);
+    void onAnswerHead(const AnswerHead &head) override;
+    void onAnswerBody(std::string_view part) override;
+    void onCallEnd(CallEnd how) override;
+    void arm();
+    void finish();
+
+    std::shared_ptr<ClientConnection> connection;
+    asio::steady_timer timer;
+    Span within{};
+    Fetched result;
+    Done done;
+    Line line;
+    std::string partial;
+    std::shared_ptr<Fetch> self;  // until the end
+};
+
+}  // namespace deckcart::http
--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,46 @@
+// Heads of HTTP/1.1 messages (RFC 9112) as values, and how they are written out.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace deckcart::http {
+
+using Header = std::pair<std::string, std::string>;
+
+bool sameName(std::string_view a, std::string_view b);  // field names are compared without case
+
+struct Head {
+    std::vector<Header> headers;
+    std::optional<std::uint64_t> length;  // of the body, where it is stated
+    bool chunked = false;
+    bool keepAlive = true;
+
+    const std::string *find(std::string_view name) const;  // the first of that name
+};
+struct RequestHead : Head {
+    std::string method, target;
+    bool expectsContinue = false;
+    bool upgrade = false;
+    bool old = false;  // HTTP/1.0
+};
+struct AnswerHead : Head {
+    int status = 0;
+    std::string reason;
+};
+
+std::string_view reasonOf(int status);
+
+// The fields that belong to one connection only (RFC 9110, 7.6.1), those that its Connection field names, and
+// the framing, which is written anew.
+bool travels(const Head &head, std::string_view name);
+
+// A whole head with its empty line. Framing comes from length and chunked; the rest from headers.
+std::string write(const RequestHead &head);
+std::string write(const AnswerHead &head, bool closes);
+
+}  // namespace deckcart::http
--- /dev/null
+++ b/src/settings/orders.cpp
@@ -0,0 +1,254 @@
+// The settings document to values, and its check against the rules: each rule that two fields can break
+// together is refused here, with the place of the field that has to give way.
+#include "orders.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+#include "../base/address.hpp"
+
+namespace deckcart {
+namespace {
+
+using nlohmann::json;
+
+const json &part(const json &from, const char *name) {
+    static const json none = json::object();
+    const auto it = from.find(name);
+    return it == from.end() ? none : *it;
+}
+template <class T> void take(const json &from, const char *name, T &into) {
+    if (const auto it = from.find(name); it != from.end()) into = it->get<T>();
+}
+void take(const json &from, const char *name, Span &into) {
+    if (const auto it = from.find(name); it != from.end())
+        into = std::chrono::milliseconds(it->get<std::int64_t>());
+}
+
+struct Reader {
+    const json &doc;
+    GatewayOrders out;
+    std::vector<Refusal> refused;
+
+    void refuse(std::string path, std::string reason) {
+        refused.push_back({std::move(path), std::move(reason)});
+    }
+    template <class T> void word(const json &from, const char *name, T &into,
+                                 std::initializer_list<std::pair<const char *, T>> known) {
+        const auto it = from.find(name);
+        if (it == from.end()) return;
+        for (const auto &[text, value] : known)
+            if (*it == text) into = value;
+    }
+    std::optional<asio::ip::tcp::endpoint> address(const json &from, const char *name,
+                                                   const std::string &path) {
+        const auto text = from.at(name).get<std::string>();
+        const auto read = parseAddress(text);
+        if (!read) refuse(path, "'" + text + "' is not HOST:PORT with a numeric host");
+        return read;
+    }
+
+    void gateway() {
+        const json &from = part(doc, "gateway");
+        take(from, "id", out.id), take(from, "index", out.index);
+        take(from, "count", out.module.gateways);
+        take(doc, "zones", out.zones);
+        if (std::set<std::string>(out.zones.begin(), out.zones.end()).size() != out.zones.size())
+            refuse("/zones", "a name stands twice");
+        if (const auto zone = from.find("zone"); zone != from.end()) {
+            if (std::ranges::find(out.zones, zone->get<std::string>()) == out.zones.end())
+                refuse("/gateway/zone", "is not one of /zones");
+            else out.module.zone = out.zoneNo(zone->get<std::string>());
+        }
+        if (out.index >= out.module.gateways) refuse("/gateway/index", "is not below /gateway/count");
+    }
+
+    void route(std::size_t no, const json &from) {
+        const std::string at = "/routes/" + std::to_string(no);
+        RouteRule rule;
+        Route route;
+        take(from, "name", rule.name), take(from, "method", rule.method);
+        take(from, "pathPrefix", rule.pathPrefix), take(from, "routeTimeoutMs", rule.routeTimeout);
+        take(from, "latencyObjectiveMs", route.latencyObjective);
+        word(from, "effect", route.effect,
+             {{"retriable", Effect::retriable},
+              {"deduped", Effect::deduped},
+              {"non-retriable", Effect::nonRetriable}});
+        word(from, "group", route.group, {{"all", Group::all}, {"zone", Group::zone}, {"cell", Group::cell}});
+        take(from, "repeatWindowMs", route.repeatWindow);
+        if (route.latencyObjective > rule.routeTimeout)
+            refuse(at + "/latencyObjectiveMs", "is over the route timeout: no answer would come in time");
+        if (rule.routeTimeout <= 2 * out.answerMargin)
+            refuse(at + "/routeTimeoutMs",
+                   "is not over twice /limits/answerMarginMs: no time is left for a try");
+        if (route.effect == Effect::deduped && route.repeatWindow <= Span{0})
+            refuse(at + "/repeatWindowMs",
+                   "is needed for a deduped route: after it a repeat would run twice");
+        if (route.effect != Effect::deduped && (from.contains("repeatWindowMs") || from.contains("group")))
+            refuse(at, "repeatWindowMs and group are for deduped routes only: nothing drops its repeats");
+        for (std::size_t before = 0; before < no; ++before) {
+            const auto &other = out.routes[before];
+            if (other.name == rule.name)
+                refuse(at + "/name", "stands at /routes/" + std::to_string(before) + " too");
+            if ((other.method.empty() || other.method == rule.method) &&
+                rule.pathPrefix.starts_with(other.pathPrefix))
+                refuse(at, "is never reached: /routes/" + std::to_string(before) + " takes all of it first");
+        }
+        out.routes.push_back(rule), out.module.routes.push_back(route);
+    }
+
+    void limits() {
+        const json &from = part(doc, "limits");
+        auto &door = out.door;
+        take(from, "clientConnections", door.connections), take(from, "reqsInHand", out.reqsInHand);
+        take(from, "headBytes", door.headBytes), take(from, "bodyBytes", door.bodyBytes);
+        take(from, "pipelinedBytes", door.pipelinedBytes), take(from, "waitingBytes", door.waitingBytes);
+        take(from, "messageWithinMs", door.messageWithin), take(from, "clientIdleMs", door.idleFor);
+        take(from, "slowPeerMs", door.slowPeerFor), take(from, "answerMarginMs", out.answerMargin);
+        take(from, "standstillMs", out.standstill);
+        const json &up = part(doc, "upstream");
+        auto &u = out.upstream;
+        take(up, "connections", u.connections), take(up, "connectWithinMs", u.connectWithin);
+        take(up, "idleMs", u.idleFor), take(up, "stalledMs", u.stalledFor);
+        take(up, "heldAnswerBytes", u.heldAnswerBytes), take(up, "probeWithinMs", u.probeWithin);
+        take(up, "probePath", u.probePath);
+    }
+
+    void headers() {
+        const json &from = part(doc, "headers");
+        auto &h = out.headers;
+        std::vector<std::pair<const char *, std::string *>> all = {
+            {"key", &h.key},     {"account", &h.account},     {"workHint", &h.workHint},
+            {"mark", &h.mark},   {"remaining", &h.remaining}, {"repeat", &h.repeat},
+            {"reqId", &h.reqId}, {"full", &h.full},           {"load", &h.load}};
+        for (std::size_t k = 0; k < all.size(); ++k) {
+            take(from, all[k].first, *all[k].second);
+            const std::string at = std::string("/headers/") + all[k].first;
+            const auto token = [](char c) {
+                return std::isalnum(static_cast<unsigned char>(c)) ||
+                       std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+            };
+            if (!std::ranges::all_of(*all[k].second, token)) refuse(at, "is no field name (RFC 9110, 5.1)");
+            if (!http::travels({}, *all[k].second))
+                refuse(at, "is a field of one connection and never passed on");
+            for (std::size_t before = 0; before < k; ++before)
+                if (http::sameName(*all[before].second, *all[k].second))
+                    refuse(at, std::string("is the name of /headers/") + all[before].first + " too");
+        }
+    }
+
+    void allowed() {
+        const json &from = part(doc, "allowed"), &rules = part(doc, "rules");
+        auto &v = out.module;
+        v.mayCancel = true, v.mostTries = 4;
+        v.longestRetryAfter = std::chrono::seconds(1), v.retryAfterTold = true;
+        // The module asks for the list and asks again after a failure: the shell makes no such choice.
+        v.listMustBeAsked = true;
+        v.askWithin = std::chrono::seconds(10);
+        take(from, "copies", v.mayCopy), take(from, "cancel", v.mayCancel);
+        take(from, "mostTries", v.mostTries), take(from, "longestRetryAfterMs", v.longestRetryAfter);
+        take(from, "askWithinMs", v.askWithin), take(from, "crossZoneFee", v.crossZoneFee);
+        take(from, "inHandField", v.inHandField);
+        v.coldFrom = 0.3, v.warmWithin = std::chrono::seconds(5), v.tipMultiple = 2;
+        v.overloadFor = std::chrono::seconds(3);
+        take(rules, "coldFrom", v.coldFrom), take(rules, "warmWithinMs", v.warmWithin);
+        take(rules, "tipMultiple", v.tipMultiple), take(rules, "overloadForMs", v.overloadFor);
+        if (v.coldFrom <= 0)
+            refuse("/rules/coldFrom", "is not over 0: a cold instance would never be sent a req");
+        double sum = 0;
+        const json accounts = doc.value("accounts", json::array());
+        for (std::size_t k = 0; k < accounts.size(); ++k) {
+            const auto name = accounts[k].at("name").get<std::string>();
+            if (std::ranges::find(out.accounts, name) != out.accounts.end())
+                refuse("/accounts/" + std::to_string(k) + "/name", "stands twice");
+            out.accounts.push_back(name);
+            v.accountShares.push_back(accounts[k].at("share").get<double>());
+            sum += v.accountShares.back();
+        }
+        if (sum > 1.0001) refuse("/accounts", "the shares add up to more than 1");
+    }
+
+    void release() {
+        const json &from = part(doc, "release");
+        auto &v = out.module;
+        v.gate = Gate::byCount, v.spareTries = 2, v.exposureSpan = std::chrono::seconds(4);
+        v.exposureCaps = {0.1, 0.4, 1}, v.stageShares = {0.1, 0.4, 1};
+        v.voteLife = std::chrono::seconds(6), v.voteAnswerWithin = std::chrono::milliseconds(800);
+        word(from, "gate", v.gate,
+             {{"first-vote", Gate::firstVote}, {"by-count", Gate::byCount}, {"clock", Gate::clock}});
+        take(from, "replacedInPlace", v.replacedInPlace), take(from, "exposurePerRoute", v.exposurePerRoute);
+        take(from, "keysStay", v.keysStay), take(from, "guardedStages", v.guardedStages);
+        take(from, "spareTries", v.spareTries), take(from, "exposureSpanMs", v.exposureSpan);
+        take(from, "caps", v.exposureCaps), take(from, "shares", v.stageShares);
+        take(from, "voteLifeMs", v.voteLife), take(from, "voteAnswerWithinMs", v.voteAnswerWithin);
+        take(from, "votesToGoBack", v.votesToGoBack), take(from, "wrongReported", v.wrongReported);
+        if (v.exposureCaps.size() != v.stageShares.size())
+            refuse("/release/caps", "has another number of stages than /release/shares");
+        if (!std::ranges::is_sorted(v.exposureCaps))
+            refuse("/release/caps", "falls from one stage to the next");
+        if (!std::ranges::is_sorted(v.stageShares))
+            refuse("/release/shares", "falls from one stage to the next");
+        if (v.voteAnswerWithin >= v.voteLife)
+            refuse("/release/voteAnswerWithinMs",
+                   "is not below /release/voteLifeMs: votes would lapse unseen");
+        if (v.votesToGoBack > v.gateways)
+            refuse("/release/votesToGoBack", "is over /gateway/count: a bad build could never be sent back");
+    }
+
+    void outside() {
+        if (const auto desk = doc.find("desk"); desk != doc.end()) {
+            const auto at = address(*desk, "address", "/desk/address");
+            DeskCalls calls{at.value_or(asio::ip::tcp::endpoint{}), std::chrono::seconds(1),
+                            std::chrono::seconds(3)};
+            take(*desk, "answerWithinMs", calls.answerWithin), take(*desk, "silentForMs", calls.silentFor);
+            out.desk = calls;
+        }
+        if (const auto peers = doc.find("peers"); peers != doc.end()) {
+            out.notes = address(*peers, "listen", "/peers/listen");
+            const auto &known = peers->at("known");
+            for (std::size_t k = 0; k < known.size(); ++k) {
+                const std::string at = "/peers/known/" + std::to_string(k);
+                const auto to = address(known[k], "address", at + "/address");
+                const int index = known[k].at("index").get<int>();
+                if (index == out.index) refuse(at + "/index", "is this gateway's own");
+                if (std::ranges::count(out.peers, index, &Peer::index)) refuse(at + "/index", "stands twice");
+                if (to) out.peers.push_back({index, *to});
+            }
+        }
+        take(part(doc, "logs"), "reqSample", out.reqSample);
+    }
+};
+
+}  // namespace
+
+int GatewayOrders::zoneNo(const std::string &name) const {
+    const auto it = std::ranges::find(zones, name);
+    return it == zones.end() ? 0 : int(it - zones.begin());
+}
+
+OrdersRead readOrders(const json &document) {
+    OrdersRead read;
+    read.refused = checkSchema(ordersSchema(), document);
+    if (!read.refused.empty()) return read;
+    Reader reader{document, {}, {}};
+    reader.gateway();
+    reader.limits();
+    const auto &routes = document.at("routes");
+    for (std::size_t k = 0; k < routes.size(); ++k) reader.route(k, routes[k]);
+    reader.headers();
+    reader.allowed();
+    reader.release();
+    reader.outside();
+    read.refused = std::move(reader.refused);
+    if (read.refused.empty()) read.orders = std::move(reader.out);
+    return read;
+}
+
+bool sameModule(const json &a, const json &b) {
+    for (const char *name : {"gateway", "zones", "routes", "accounts", "allowed", "rules", "release"})
+        if (a.value(name, json{}) != b.value(name, json{})) return false;
+    return true;
+}
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/settings/orders.hpp
@@ -0,0 +1,83 @@
+// What operators set for a gateway, as one JSON document: its types, its schema, its check against the rules.
+// Given by PUT /v1/settings; kept as the same document. Times in the document are whole milliseconds.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <deckcart/policy.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../base/schema.hpp"
+#include "../http/server.hpp"
+
+namespace deckcart {
+
+// A req belongs to the first rule whose method (empty: any) and path prefix fit.
+struct RouteRule {
+    std::string name, method, pathPrefix;
+    Span routeTimeout{};  // when the client gives up
+};
+
+// The names of the fields that carry what the module wants to know.
+struct HeaderNames {
+    std::string key = "X-Key", account = "X-Account", workHint = "X-Work-Ms", mark = "Idempotency-Key",
+                remaining = "X-Remaining-Ms", repeat = "X-Repeat", reqId = "X-Request-Id",
+                full = "X-Instance-Full", load = "X-Load";
+};
+
+struct DeskCalls {
+    asio::ip::tcp::endpoint address;
+    Span answerWithin{};  // a call that lists; votes have the module's own bound
+    Span silentFor{};     // a watch that has said nothing for so long is broken
+};
+
+struct UpstreamLimits {
+    std::size_t connections = 256;  // to one instance; beyond it a try counts as a failed connect
+    Span connectWithin = std::chrono::milliseconds(250);
+    Span idleFor = std::chrono::seconds(15);
+    std::size_t heldAnswerBytes = 64 * 1024;  // a shorter answer is passed on whole, so that it can't be cut
+    Span stalledFor = std::chrono::seconds(10);  // an answer that has begun and goes no further
+    Span probeWithin = std::chrono::milliseconds(500);
+    std::string probePath = "/probe";
+};
+
+struct Peer {
+    int index = 0;
+    asio::ip::tcp::endpoint address;  // of its datagrams
+};
+
+struct GatewayOrders {
+    std::string id = "gateway";
+    int index = 0;
+    StartValues module;  // but for the seed, which is drawn at each start
+    std::vector<RouteRule> routes;
+    std::vector<std::string> accounts, zones;
+    HeaderNames headers;
+    http::DoorLimits door;
+    std::size_t reqsInHand = 4096;
+    Span answerMargin = std::chrono::milliseconds(30);  // final answers leave so long before the client's end
+    Span standstill =
+        std::chrono::milliseconds(200);  // a turn of the loop later than that found a stopped clock
+    UpstreamLimits upstream;
+    std::optional<DeskCalls> desk;
+    std::optional<asio::ip::tcp::endpoint> notes;  // where peers' datagrams are taken
+    std::vector<Peer> peers;
+    double reqSample = 0;  // part of the reqs that are logged
+
+    int zoneNo(const std::string &name) const;  // 0 for one that is not named
+};
+
+struct OrdersRead {
+    std::optional<GatewayOrders> orders;  // empty where anything is refused
+    std::vector<Refusal> refused;
+};
+
+const nlohmann::json &ordersSchema();
+// Checks the whole document, by schema and then against the rules, and says all that is wrong with it.
+OrdersRead readOrders(const nlohmann::json &document);
+// Whether both give the module the same start, so that one can follow the other without a new record.
+bool sameModule(const nlohmann::json &a, const nlohmann::json &b);
+
+}  // namespace deckcart
