--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,11 +3,13 @@
 
 #include "../base/address.hpp"
 #include "../gateway/service.hpp"
+#include "rehearse.hpp"
 
 namespace {
 
 using deckcart::LogForm;
 
+const std::vector<std::string> kShellFaults{"sends-after-drain", "answers-twice", "repeats-non-retriable"};
 const std::map<std::string, LogForm> kLogForms{
     {"text", LogForm::text}, {"json", LogForm::json}, {"none", LogForm::none}};
 
@@ -39,7 +41,28 @@
     gateway->add_option("--ready-file", readyFile, "written with the chosen addresses once it listens");
     gateway->add_option("--logs", logs, "text, json or none")->transform(CLI::CheckedTransformer(kLogForms));
     gateway->add_option("--shell-fault", faults, "for rehearsals of the auditor: a fault of the data path")
-        ->check(CLI::IsMember({"sends-after-drain", "answers-twice", "repeats-non-retriable"}));
+        ->check(CLI::IsMember(kShellFaults));
+
+    deckcart::cli::RehearseWords words;
+    auto *rehearse =
+        app.add_subcommand("rehearse", "play days of trouble through real gateways and judge the rules");
+    rehearse->add_option("days", words.days, "documents of days, see docs/operate/rehearsals.md")->required();
+    rehearse->add_option("--seed", words.seed, "instead of the day's own");
+    rehearse->add_option("--seeds", words.seeds, "plays each day so many times, seed after seed")
+        ->check(CLI::Range(1, 1000));
+    rehearse->add_option("--keep", words.keep,
+                         "folder for the gateways' logs and state; else they are thrown away");
+    rehearse->add_option("--records", words.records,
+                         "file for what was seen at the sockets, for deckcart audit");
+    rehearse->add_flag("--json", words.json, "the report as JSON");
+    rehearse
+        ->add_option("--shell-fault", words.shellFaults,
+                     "a fault of the data path, which the auditor must find")
+        ->check(CLI::IsMember(kShellFaults));
+    std::string day, records;
+    auto *audit = app.add_subcommand("audit", "judge records of a rehearsal by the rules");
+    audit->add_option("day", day, "the day's document")->required();
+    audit->add_option("records", records, "what rehearse --records wrote")->required();
 
     try {
         app.parse(argc, argv);
@@ -56,5 +79,7 @@
         }
         return deckcart::runGateway(start);
     }
+    if (rehearse->parsed()) return deckcart::cli::rehearse(words);
+    if (audit->parsed()) return deckcart::cli::audit(day, records);
     return 2;
 }
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -78,7 +78,7 @@
         tainted = true;
         return finish(ended ? CallEnd::complete : CallEnd::broken);
     }
-    if (!sink) return shut();  // an idle peer that speaks is out of step
+    if (!sink) return unasked = true, shut();  // an idle peer that speaks is out of step
     std::string_view bytes(buffer.data(), n);
     while (!bytes.empty() && sink && !closed) {
         const auto used = parser.feed(bytes);
@@ -92,7 +92,7 @@
     }
     if (closed) return;
     if (!parser.done()) return read();
-    if (!bytes.empty()) tainted = true;  // answered twice, or more than was stated
+    if (!bytes.empty()) tainted = unasked = true;  // answered twice, or more than was stated
     finish(CallEnd::complete);
     read();
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -41,6 +41,7 @@
 
     bool reusable() const { return connected && !sink && !closed && !tainted; }
     bool handedOver() const { return handed > 0; }  // bytes of the present call that the socket took
+    bool spokeUnasked() const { return unasked; }   // bytes came that belong to no call
     std::function<void()> onIdleClosed;             // the peer has closed it while idle
     Span idleSince{};
 
@@ -63,6 +64,7 @@
     bool connected = false, closed = false, reading = false, paused = false, headCall = false,
          sentAll = false;
     bool tainted = false;  // more came than one answer, or the peer wants to close
+    bool unasked = false;
     std::uint64_t callNo = 0;
 };
 
--- /dev/null
+++ b/src/rehearsal/audit.cpp
@@ -0,0 +1,298 @@
+#include "audit.hpp"
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace deckcart::rehearsal {
+namespace {
+
+std::string at(Span s) { return std::to_string(double(s.count() / 1000) / 1000) + " s"; }
+
+struct Auditor {
+    const Records &r;
+    const RuleFigures &f;
+    std::vector<Breach> found;
+    std::unordered_map<std::string, const ClientRecord *> client;
+    std::unordered_map<std::string, std::vector<const InstanceRecord *>> tries;  // of a req, by time
+
+    void breach(Rule rule, std::string req, Span when, std::string words) {
+        found.push_back({rule, std::move(req), when, std::move(words)});
+    }
+    const Route &route(const ClientRecord &c) const { return f.routes.at(std::size_t(c.route)); }
+
+    void index() {
+        for (const auto &c : r.clients)
+            if (!client.emplace(c.req, &c).second)
+                throw std::invalid_argument("two clients' tries are called " + c.req);
+        for (const auto &t : r.instances) tries[t.req].push_back(&t);
+        for (auto &[req, list] : tries)
+            std::ranges::stable_sort(list, {}, [](const InstanceRecord *t) { return t->received; });
+    }
+
+    // Whether the gateway could not answer: killed meanwhile, or standing still when the client's time ran
+    // out.
+    bool excused(const ClientRecord &c) const {
+        return std::ranges::any_of(r.halts, [&](const GatewayHalt &h) {
+            if (h.gateway != c.gateway) return false;
+            if (h.how == Halt::killed) return h.from <= c.givesUp && h.until >= c.sent;
+            return h.from <= c.givesUp && h.until + f.slack >= c.givesUp;
+        });
+    }
+
+    void oneAnswer() {
+        for (const auto &c : r.clients) {
+            if (c.sent == Span{0} || c.end == ClientEnd::unreached) continue;
+            if (c.answers > 1)
+                breach(Rule::oneAnswer, c.req, c.answered, std::to_string(c.answers) + " answers came");
+            if (c.answers == 0 && !excused(c))
+                breach(Rule::oneAnswer, c.req, c.givesUp,
+                       c.end == ClientEnd::cut
+                           ? "its connection was cut without an answer"
+                           : "sent at " + at(c.sent) + ", no answer until the client gave up");
+            if (c.answers > 0 && c.answered > c.givesUp + f.slack && !excused(c))
+                breach(Rule::oneAnswer, c.req, c.answered,
+                       "answered after the client gave up at " + at(c.givesUp));
+            const auto mine = tries.find(c.req);
+            if (mine == tries.end() || c.answered == Span{0}) continue;
+            for (const auto *t : mine->second)
+                if (t->received > c.answered + f.slack && !halted(c.gateway, c.answered, t->received))
+                    breach(Rule::oneAnswer, c.req, t->received,
+                           "sent to " + t->server + " after its final answer at " + at(c.answered));
+        }
+    }
+    // What a stopped gateway had handed to its sockets, an instance may read late.
+    bool halted(int gateway, Span from, Span until) const {
+        return std::ranges::any_of(r.halts, [&](const GatewayHalt &h) {
+            return h.gateway == gateway && h.from <= until && h.until >= from;
+        });
+    }
+
+    void noEffectTwice() {
+        for (const auto &[req, list] : tries) {
+            const auto c = client.find(req);
+            if (c == client.end()) continue;
+            const Route &rt = route(*c->second);
+            if (rt.effect == Effect::retriable) continue;
+            const InstanceRecord *ran = nullptr;
+            for (const auto *t : list) {
+                if (ran && rt.effect == Effect::nonRetriable)
+                    breach(Rule::noEffectTwice, req, t->received,
+                           "non-retriable, sent to " + t->server + " though it may have run on " +
+                               ran->server + " at " + at(ran->received));
+                if (ran && rt.effect == Effect::deduped) {
+                    if (t->received > ran->received + rt.repeatWindow + f.slack)
+                        breach(Rule::noEffectTwice, req, t->received,
+                               "deduped, sent again to " + t->server + " after the memory of " +
+                                   at(ran->received));
+                    const bool inGroup =
+                        rt.group == Group::all ||
+                        (t->zone == ran->zone && (rt.group == Group::zone || t->cell == ran->cell));
+                    if (!inGroup)
+                        breach(Rule::noEffectTwice, req, t->received,
+                               "deduped, sent again to " + t->server + " outside the group of " +
+                                   ran->server);
+                }
+                if (t->mayHaveRun && !ran) ran = t;
+            }
+            const bool sheddable = rt.effect == Effect::deduped && rt.group == Group::all;
+            if (ran && c->second->end == ClientEnd::shed && !sheddable && ran->received < c->second->answered)
+                breach(Rule::noEffectTwice, req, c->second->answered,
+                       "shed though it may have run on " + ran->server);
+        }
+    }
+
+    // Whether the gateway runs without a kill from one moment to the other: a killed one has forgotten.
+    bool sameLife(int gateway, Span from, Span until) const {
+        return std::ranges::none_of(r.halts, [&](const GatewayHalt &h) {
+            return h.gateway == gateway && h.how == Halt::killed && h.from <= until && h.until >= from;
+        });
+    }
+
+    void drains() {
+        std::map<std::pair<int, ServerId>, std::vector<const ToldServer *>> told;
+        for (const auto &t : r.servers) told[{t.gateway, t.server}].push_back(&t);
+        for (const auto &t : r.instances) {
+            const auto c = client.find(t.req);
+            if (c == client.end()) continue;
+            const int gateway = c->second->gateway;
+            const auto list = told.find({gateway, t.server});
+            if (list == told.end()) continue;
+            const ToldServer *last =
+                nullptr;  // the first that told it is not live, since it was told live last
+            for (const auto *news : list->second) {
+                if (news->at > t.received) break;
+                if (news->readiness == Readiness::live) last = nullptr;
+                else if (!last) last = news;
+            }
+            if (last && t.received > last->at + f.drainGrace + f.slack &&
+                sameLife(gateway, last->at, t.received) && !halted(gateway, last->at, t.received))
+                breach(Rule::drains, t.req, t.received,
+                       "sent to " + t.server + ", which gateway " + std::to_string(gateway) +
+                           " was told at " + at(last->at) + " to leave");
+        }
+    }
+
+    void coldServers() {
+        for (const auto &fall : r.fallen) {
+            std::size_t all = 0, informed = 0;
+            for (const auto &t : r.instances) {
+                if (t.server != fall.server || t.received < fall.from || t.received > fall.until) continue;
+                ++all;
+                const auto c = client.find(t.req);
+                if (c == client.end()) continue;
+                informed += std::ranges::any_of(r.servers, [&](const ToldServer &news) {
+                    return news.gateway == c->second->gateway && news.server == t.server && news.startedNow &&
+                           news.at <= t.received;
+                });
+            }
+            if (3 * informed >= 2 * all)
+                breach(Rule::coldServers, fall.server, fall.until,
+                       "fell over while cold: " + std::to_string(all) + " tries from " + at(fall.from) +
+                           " on, " + std::to_string(informed) + " of gateways that knew of its start");
+        }
+    }
+
+    struct Known {
+        BuildNo build = 0;
+        int step = 0;
+        Phase phase = Phase::released;
+        double cap = 1;
+        Span at{};
+    };
+    bool onTrial(const Known *k, BuildNo build) const {
+        if (!k) return build > f.firstBuild;
+        return build > k->build || (build == k->build && k->phase != Phase::released);
+    }
+    double cap(const Known *k, BuildNo build) const {
+        if (!onTrial(k, build)) return 1e9;
+        return k && k->build == build ? k->cap : f.firstCap;
+    }
+
+    void exposure() {
+        std::map<int, std::vector<Known>> news;
+        for (const auto &t : r.releases) news[t.gateway].push_back({t.build, t.step, t.phase, t.cap, t.at});
+        struct Sent {
+            Span at;
+            const InstanceRecord *t;
+            const ClientRecord *c;
+        };
+        std::map<std::tuple<int, BuildNo, int>, std::vector<Sent>> sent;  // gateway, build, route or -1
+        std::map<std::pair<int, int>, std::vector<Span>> taken;           // gateway, route or -1
+        const auto counted = [&](int route) { return f.exposurePerRoute ? route : -1; };
+        for (const auto &c : r.clients)
+            if (c.sent != Span{0} && c.end != ClientEnd::unreached)
+                taken[{c.gateway, counted(c.route)}].push_back(c.sent);
+        for (auto &[who, times] : taken) std::ranges::sort(times);
+        for (const auto &t : r.instances) {
+            const auto c = client.find(t.req);
+            if (c != client.end())
+                sent[{c->second->gateway, t.build, counted(c->second->route)}].push_back(
+                    {t.received, &t, c->second});
+        }
+        for (auto &[where, list] : sent) {
+            const auto &[gateway, build, routeNo] = where;
+            std::ranges::sort(list, {}, &Sent::at);
+            const auto &told = news[gateway];
+            const auto &reqs = taken[{gateway, routeNo}];
+            for (std::size_t k = 0; k < list.size(); ++k) {
+                const Span now = list[k].at;
+                // The loosest of what it may go by: what it knew a grace ago, and all that it was told since.
+                const Known *before = nullptr;
+                std::vector<const Known *> valid;
+                for (const auto &n : told) {
+                    if (n.at <= now - f.drainGrace - f.slack) before = &n;
+                    else if (n.at <= now) valid.push_back(&n);
+                }
+                if (!before || !sameLife(gateway, before->at, now)) valid.push_back(nullptr);
+                if (before) valid.push_back(before);
+                double most = 0;
+                bool trial = true, guarded = true;
+                for (const auto *n : valid) {
+                    most = std::max(most, cap(n, build));
+                    trial = trial && onTrial(n, build);
+                    guarded = guarded && (n && n->build == build ? n->step : 0) < f.guardedStages;
+                }
+                if (!trial) continue;
+                if (guarded && route(*list[k].c).effect != Effect::retriable)
+                    breach(Rule::exposure, list[k].t->req, now,
+                           "not retriable, sent to build " + std::to_string(build) + " in a guarded stage");
+                // Counted afresh from where a lower cap came to bind, or the build was not on trial before.
+                Span from = now - f.exposureSpan;
+                for (std::size_t n = 0; n < told.size(); ++n) {
+                    const Known *prior = n ? &told[n - 1] : nullptr;
+                    if (told[n].at <= now && cap(&told[n], build) < cap(prior, build))
+                        from = std::max(from, told[n].at + f.drainGrace);
+                }
+                const auto sentThere =
+                    std::ranges::count_if(list, [&](const Sent &s) { return s.at > from && s.at <= now; });
+                const auto accepted = std::ranges::upper_bound(reqs, now + f.slack) -
+                                      std::ranges::lower_bound(reqs, now - f.exposureSpan - f.slack);
+                if (double(sentThere) > f.spareTries + most * double(accepted) + 1e-9 &&
+                    !halted(gateway, from, now))
+                    breach(Rule::exposure, list[k].t->req, now,
+                           "gateway " + std::to_string(gateway) + " sent " + std::to_string(sentThere) +
+                               " tries to build " + std::to_string(build) + " since " + at(from) + "; " +
+                               std::to_string(accepted) + " reqs at a cap of " + std::to_string(most) +
+                               " allow fewer");
+            }
+        }
+    }
+
+    void keysStay() {
+        if (!f.keysStay) return;
+        std::map<std::pair<int, std::string>, std::vector<const ClientRecord *>> answered;
+        for (const auto &c : r.clients)
+            if (c.end == ClientEnd::completed && !c.key.empty()) answered[{c.gateway, c.key}].push_back(&c);
+        for (const auto &t : r.instances) {
+            const auto c = client.find(t.req);
+            if (c == client.end()) continue;
+            const int gateway = c->second->gateway;
+            const auto list = answered.find({gateway, c->second->key});
+            if (list == answered.end()) continue;
+            for (const auto *a : list->second) {
+                if (a->build <= t.build || a->answered + f.slack >= t.received) continue;
+                if (!sameLife(gateway, a->answered, t.received)) continue;
+                const bool sentBack = std::ranges::any_of(r.releases, [&](const ToldRelease &n) {
+                    return n.gateway == gateway && n.at <= t.received && n.build >= a->build &&
+                           n.at >= a->answered - f.slack &&
+                           (n.phase == Phase::goingBack || n.phase == Phase::withdrawn);
+                });
+                if (sentBack) continue;
+                breach(Rule::exposure, t.req, t.received,
+                       "key " + c->second->key + " sent to build " + std::to_string(t.build) +
+                           " after build " + std::to_string(a->build) + " answered it at " + at(a->answered));
+                break;
+            }
+        }
+    }
+};
+
+}  // namespace
+
+const char *nameOf(Rule rule) {
+    switch (rule) {
+    case Rule::oneAnswer: return "no req is lost";
+    case Rule::noEffectTwice: return "no effect happens twice";
+    case Rule::drains: return "drains are kept";
+    case Rule::coldServers: return "a cold instance is not pushed over";
+    case Rule::exposure: return "exposure stays within the cap";
+    }
+    return "";
+}
+
+std::vector<Breach> audit(const Records &records, const RuleFigures &figures) {
+    Auditor auditor{records, figures, {}, {}, {}};
+    auditor.index();
+    auditor.oneAnswer();
+    auditor.noEffectTwice();
+    auditor.drains();
+    auditor.coldServers();
+    auditor.exposure();
+    auditor.keysStay();
+    std::ranges::stable_sort(auditor.found, {}, &Breach::at);
+    return std::move(auditor.found);
+}
+
+}  // namespace deckcart::rehearsal
--- /dev/null
+++ b/src/rehearsal/audit.hpp
@@ -0,0 +1,107 @@
+// The auditor: judges the five rules from what clients, instances and the desk saw at their sockets, never
+// from a gateway's own word. Pure: records in, breaches out.
+#pragma once
+
+#include <deckcart/policy.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace deckcart::rehearsal {
+
+// How a client's try ended, as the client saw it.
+enum class ClientEnd { none, completed, shed, errored, cut, unreached };
+
+// One try of a client at a gateway. All times are on one clock.
+struct ClientRecord {
+    std::string req;  // its id, carried on every upstream try
+    int route = 0, gateway = 0;
+    std::string key;
+    Span sent{};  // the whole of it was handed to the connection; zero: never
+    Span givesUp{};
+    Span answered{};  // zero: never
+    ClientEnd end = ClientEnd::none;
+    int answers = 0;    // final answers that came
+    BuildNo build = 0;  // that the answer says it is from; told by the instance itself
+};
+
+// One upstream try, as an instance saw it.
+struct InstanceRecord {
+    std::string req;
+    ServerId server;
+    int zone = 0, cell = 0;
+    BuildNo build = 0;
+    Span received{};
+    bool mayHaveRun = true;  // false: turned away unread, with the sign for it
+};
+
+struct ToldServer {
+    int gateway = 0;
+    Span at{};
+    ServerId server;
+    BuildNo build = 0;
+    Readiness readiness = Readiness::live;
+    bool startedNow = false;  // tells of a start
+};
+struct ToldRelease {
+    int gateway = 0;
+    Span at{};
+    BuildNo build = 0;
+    int step = 0;
+    Phase phase = Phase::onTrial;
+    double cap = 0;
+};
+// A cold instance fell over: it had got more in this window than the rule allows.
+struct FellOver {
+    ServerId server;
+    Span from{}, until{};
+};
+enum class Halt { killed, stopped };
+struct GatewayHalt {
+    int gateway = 0;
+    Halt how = Halt::killed;
+    Span from{}, until{};  // until it runs again
+};
+
+struct Records {
+    std::vector<ClientRecord> clients;
+    std::vector<InstanceRecord> instances;
+    std::vector<ToldServer> servers;
+    std::vector<ToldRelease> releases;
+    std::vector<FellOver> fallen;
+    std::vector<GatewayHalt> halts;
+};
+
+struct RuleFigures {
+    std::vector<Route> routes;
+    Span drainGrace{};
+    double spareTries = 0;
+    Span exposureSpan{};
+    bool exposurePerRoute = false, keysStay = false;
+    double firstCap = 0;
+    int guardedStages = 0;
+    BuildNo firstBuild = 0;  // builds above it are on trial until told otherwise
+    // Two sockets do not see one moment: events this close are not told apart. Over the way between two
+    // processes of one busy machine; harm: a breach shorter than it goes unseen.
+    Span slack = std::chrono::milliseconds(100);
+};
+
+enum class Rule { oneAnswer = 1, noEffectTwice, drains, coldServers, exposure };
+const char *nameOf(Rule rule);
+
+struct Breach {
+    Rule rule = Rule::oneAnswer;
+    std::string req;  // or the instance, where no req is at fault
+    Span at{};
+    std::string words;
+};
+
+std::vector<Breach> audit(const Records &records, const RuleFigures &figures);
+
+nlohmann::json toJson(const Records &records);
+// Throws std::invalid_argument or a JSON exception that names the field.
+Records readRecords(const nlohmann::json &from);
+
+}  // namespace deckcart::rehearsal
--- /dev/null
+++ b/src/rehearsal/day.hpp
@@ -0,0 +1,107 @@
+// A day of trouble, as a document: a site, its traffic, a release and what goes wrong. The notation is
+// described in docs/operate/rehearsals.md; times in it are milliseconds since the day's start.
+#pragma once
+
+#include <deckcart/policy.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "../base/schema.hpp"
+
+namespace deckcart::rehearsal {
+
+struct DayRoute {
+    std::string name, method;
+    Route rule;
+    Span routeTimeout{};
+    double share = 1, benefit = 1;
+    double leastWorkMs = 5, mostWorkMs = 10;  // on one core of an instance
+};
+
+enum class BadKind { none, fails, slow, busy, later, wrong, slowsAll };
+// What is wrong with the build on trial.
+struct BadBuild {
+    BadKind kind = BadKind::none;
+    int route = -1;     // -1: all of them
+    double part = 0.5;  // of the reqs that fail or are answered wrong
+    double times = 3;   // the work that it needs
+    Span after{};       // kind later: sound for so long after each instance's start
+};
+
+enum class TroubleKind {
+    hang,            // instances take reqs and answer none
+    crash,           // instances die, with their connections
+    drain,           // instances are drained by staff and leave
+    answersLost,     // instances do the work, then reset the connection
+    slowConnects,    // instances take new connections late
+    neighbour,       // instances are slower
+    pauses,          // instances stop for a moment, again and again
+    fleetSlow,       // all instances are slower
+    listLate,        // the desk tells of instances late
+    listFails,       // the desk's list and watch fail
+    deskStill,       // the desk answers no vote
+    gatewayKilled,   // gateways are killed and started again
+    gatewayStalled,  // gateways stand still
+    burst,           // all clients ask for more
+    heedless,        // one account's clients repeat at once, again and again
+    lowReports,      // instances report too little load
+    probesFail       // instances answer probes with errors
+};
+
+struct Trouble {
+    TroubleKind kind = TroubleKind::hang;
+    Span at{}, lasts{};
+    int count = 1;            // instances or gateways that it hits
+    std::string where;        // instances: "any", "trial" or "earlier"
+    double times = 2;         // slower, or more reqs
+    double part = 0.5;        // of the answers that are lost
+    bool votesCount = false;  // deskStill: votes that get no answer count
+};
+
+struct Day {
+    std::string name, words;
+    Span lasts{};
+    std::uint64_t seed = 1;
+    std::vector<double> gatewayWeights;  // parts of the traffic; one a gateway
+    int instances = 8, cores = 2, queue = 64;
+    std::vector<std::string> zones;
+    double coldFrom = 0.4, tipMultiple = 3;
+    Span warmWithin{}, overloadFor{};
+    double reqsPerS = 100;
+    int keys = 500, retries = 1;
+    double leastPatience = 0.6;  // part of the route timeout that a client waits at least
+    std::vector<std::string> accounts;
+    std::vector<double> accountShares;
+    std::vector<DayRoute> routes;
+    // release
+    std::optional<Span> releaseAt;
+    nlohmann::json release;  // what the gateways are told, as /release of their settings
+    std::vector<double> caps, shares;
+    double spareTries = 2;
+    Span exposureSpan{}, voteLife{}, leastStage{}, drainGrace{}, leastNewsDelay{}, mostNewsDelay{};
+    bool exposurePerRoute = false, keysStay = false, inPlace = false;
+    int guardedStages = 0, votesToGoBack = 1, toAdvance = 2;
+    double wrongReported = 0;
+    BadBuild bad;
+    bool tallies = false;
+    int mostTries = 4;
+    bool mayCopy = false;
+    bool shouldRelease = true;  // what staff would expect of the release by the day's end
+    std::vector<Trouble> troubles;
+    nlohmann::json allowed;  // as /allowed of the settings
+
+    int routeNo(const std::string &name) const;  // -1: none
+};
+
+struct DayRead {
+    std::optional<Day> day;
+    std::vector<Refusal> refused;
+};
+const nlohmann::json &daySchema();
+DayRead readDay(const nlohmann::json &document);
+// The settings document of one of its gateways.
+nlohmann::json settingsOf(const Day &day, int gateway, const std::string &deskAddress);
+
+}  // namespace deckcart::rehearsal
--- /dev/null
+++ b/src/rehearsal/rehearse.cpp
@@ -0,0 +1,509 @@
+#include "rehearse.hpp"
+
+#include <algorithm>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <fstream>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "../base/address.hpp"
+#include "../http/fetch.hpp"
+#include "../standin/clients.hpp"
+#include "../standin/desk.hpp"
+
+extern char **environ;
+
+namespace deckcart::rehearsal {
+namespace {
+
+using nlohmann::json;
+namespace fs = std::filesystem;
+
+constexpr Span kReadyWithin = std::chrono::seconds(20), kLookEvery = std::chrono::milliseconds(5),
+               kBeforeDay = std::chrono::milliseconds(700), kEndWithin = std::chrono::seconds(20);
+
+// A gateway's process.
+struct Process {
+    int no = 0;
+    fs::path folder;
+    pid_t pid = -1;
+    std::string listen = "127.0.0.1:0", api = "127.0.0.1:0";
+    bool ready = false;
+    std::optional<int> status;  // of its end
+
+    bool spawn(const RehearsalStart &start) {
+        std::error_code ignored;
+        fs::remove(folder / "ready.json", ignored);
+        ready = false, status.reset();
+        std::vector<std::string> words{start.program.string(),
+                                       "gateway",
+                                       "--listen",
+                                       listen,
+                                       "--api",
+                                       api,
+                                       "--state",
+                                       folder.string(),
+                                       "--ready-file",
+                                       (folder / "ready.json").string(),
+                                       "--logs",
+                                       "json"};
+        for (const auto &fault : start.shellFaults) words.insert(words.end(), {"--shell-fault", fault});
+        std::vector<char *> argv;
+        for (auto &word : words) argv.push_back(word.data());
+        argv.push_back(nullptr);
+        posix_spawn_file_actions_t files;
+        posix_spawn_file_actions_init(&files);
+        const std::string log = (folder / "log.jsonl").string();
+        posix_spawn_file_actions_addopen(&files, 2, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        const int failed = ::posix_spawn(&pid, argv[0], &files, nullptr, argv.data(), environ);
+        posix_spawn_file_actions_destroy(&files);
+        if (failed) pid = -1;
+        return !failed;
+    }
+    bool look() {  // whether it is ready
+        if (ready) return true;
+        std::ifstream file(folder / "ready.json");
+        const json said = file ? json::parse(file, nullptr, false) : json{};
+        if (!said.is_object()) return false;
+        listen = said.at("listen"), api = said.at("api");
+        return ready = true;
+    }
+    bool over() {
+        int how = 0;
+        if (pid <= 0) return true;
+        if (::waitpid(pid, &how, WNOHANG) != pid) return false;
+        status = WIFEXITED(how) ? WEXITSTATUS(how) : 128 + WTERMSIG(how), pid = -1;
+        return true;
+    }
+    void signal(int number) const {
+        if (pid > 0) ::kill(pid, number);
+    }
+    ~Process() {
+        if (pid <= 0) return;
+        ::kill(pid, SIGKILL);
+        ::waitpid(pid, nullptr, 0);
+    }
+};
+
+class Stage {
+  public:
+    Stage(const Day &what, const RehearsalStart &with)
+        : day(what), start(with), world(what, clock, out.records), desk(context, world, what.seed * 7 + 1),
+          chance(what.seed * 7 + 2), looking(context), processes(what.gatewayWeights.size()) {}
+
+    Rehearsal play() {
+        std::signal(SIGPIPE, SIG_IGN);
+        const bool temporary = start.keep.empty();
+        folder = temporary ? fs::temp_directory_path() / fmt::format("deckcart-rehearsal-{}", ::getpid())
+                           : start.keep;
+        desk.start();
+        for (std::size_t k = 0; k < processes.size(); ++k) {
+            auto &p = processes[k];
+            p.no = int(k), p.folder = folder / ("g" + std::to_string(k));
+            fs::remove_all(p.folder);
+            fs::create_directories(p.folder);
+            if (!p.spawn(start)) return fail("gateway can't be started: " + start.program.string());
+        }
+        deadline = clock.now() + kReadyWithin;
+        look();
+        context.run();
+        if (!clients && out.fault.empty()) out.fault = "no gateway got ready";
+        if (out.fault.empty()) judge();
+        clients.reset();
+        processes.clear();
+        std::error_code ignored;
+        if (temporary) fs::remove_all(folder, ignored);
+        return std::move(out);
+    }
+
+  private:
+    Rehearsal fail(std::string why) {
+        out.fault = std::move(why);
+        processes.clear();
+        return std::move(out);
+    }
+    void stop(std::string why) {
+        out.fault = std::move(why);
+        context.stop();
+    }
+
+    // ---- from the first process to the last ----
+    void look() {
+        tick();
+        looking.expires_after(kLookEvery);
+        looking.async_wait([this](asio::error_code fault) {
+            if (!fault) look();
+        });
+    }
+
+    void tick() {
+        const Span now = clock.now();
+        switch (phase) {
+        case Phase_::starting: {
+            bool all = true;
+            for (auto &p : processes) {
+                if (p.over()) return stop("a gateway ended at its start; its log is in " + p.folder.string());
+                all = p.look() && all;
+            }
+            if (!all) {
+                if (now > deadline) stop("the gateways did not get ready in time");
+                return;
+            }
+            phase = Phase_::settings;
+            for (auto &p : processes) {
+                http::RequestHead head;
+                head.method = "PUT", head.target = "/v1/settings";
+                const json settings = settingsOf(day, p.no, desk.address());
+                http::Fetch::start(context, *parseAddress(p.api), head, settings.dump(),
+                                   std::chrono::seconds(10), [this](const http::Fetched &got) {
+                                       if (!got.ok()) return stop("settings refused: " + got.body);
+                                       ++settled;
+                                   });
+            }
+            return;
+        }
+        case Phase_::settings:
+            if (settled < processes.size()) return;
+            began = now + kBeforeDay, phase = Phase_::waiting;
+            return;
+        case Phase_::waiting: {
+            if (now < began) return;
+            phase = Phase_::day, began = now;
+            open();
+            std::vector<standin::Clients::Place> places;
+            for (const auto &p : processes)
+                places.push_back(
+                    {*parseAddress(p.listen), *parseAddress(p.api), day.gatewayWeights[std::size_t(p.no)]});
+            clients = std::make_unique<standin::Clients>(context, world, std::move(places), day.seed * 7 + 3);
+            clients->start(began + day.lasts);
+            return;
+        }
+        case Phase_::day:
+            desk.tick();
+            troubles(now - began);
+            revive(now);
+            if (now >= began + day.lasts && clients->idle()) {
+                for (auto &p : processes) p.signal(SIGCONT), p.signal(SIGTERM);
+                phase = Phase_::ending, deadline = now + kEndWithin;
+            }
+            return;
+        case Phase_::ending: {
+            bool all = true;
+            for (auto &p : processes) all = p.over() && all;
+            if (!all && now > deadline) return stop("a gateway did not end after SIGTERM");
+            if (!all) return;
+            for (const auto &p : processes)
+                if (p.status && *p.status != 0)
+                    return stop(
+                        fmt::format("gateway g{} ended with status {}; see its log", p.no, *p.status));
+            context.stop();
+        }
+        }
+    }
+
+    // What the document calls 0.
+    void open() {
+        desk.dayBegins(began);
+        pending = day.troubles;
+        std::ranges::stable_sort(pending, {}, &Trouble::at);
+        active.clear();
+    }
+
+    std::vector<standin::Instance *> some(const Trouble &t) {
+        auto all = desk.instances(t.where);
+        std::ranges::sort(all, {}, [](const standin::Instance *i) { return i->id(); });
+        std::vector<standin::Instance *> out_;
+        while (!all.empty() && int(out_.size()) < t.count) {
+            const auto k = std::size_t(chance() % all.size());
+            out_.push_back(all[k]), all.erase(all.begin() + long(k));
+        }
+        return out_;
+    }
+    std::vector<Process *> someGateways(int count) {
+        std::vector<Process *> all, out_;
+        for (auto &p : processes)
+            if (p.ready && p.pid > 0) all.push_back(&p);
+        while (!all.empty() && int(out_.size()) < count) {
+            const auto k = std::size_t(chance() % all.size());
+            out_.push_back(all[k]), all.erase(all.begin() + long(k));
+        }
+        return out_;
+    }
+
+    struct Active {
+        Span until{};
+        std::function<void()> end;
+        std::function<void()> again;
+        Span nextAgain{};
+    };
+
+    void troubles(Span at) {
+        while (!pending.empty() && pending.front().at <= at) {
+            begin(pending.front());
+            pending.erase(pending.begin());
+        }
+        for (auto &a : active)
+            if (a.again && at >= a.nextAgain && at < a.until)
+                a.nextAgain = at + std::chrono::seconds(1), a.again();
+        std::vector<std::function<void()>> ends;
+        std::erase_if(active, [&](Active &a) {
+            if (at < a.until) return false;
+            if (a.end) ends.push_back(a.end);
+            return true;
+        });
+        for (const auto &end : ends) end();
+    }
+
+    void begin(const Trouble &t) {
+        Active a{t.at + t.lasts, nullptr, nullptr, Span{0}};
+        const auto hit = some(t);
+        std::vector<ServerId> ids;
+        for (const auto *i : hit) ids.push_back(i->id());
+        // An instance may be gone when its trouble ends: it is looked up anew.
+        const auto each = [this, ids](auto what) {
+            return [this, ids, what] {
+                for (auto *i : desk.instances("any"))
+                    if (std::ranges::find(ids, i->id()) != ids.end()) what(*i);
+            };
+        };
+        using I = standin::Instance;
+        const auto both = [&](auto on, auto off) { each(on)(), a.end = each(off); };
+        switch (t.kind) {
+        case TroubleKind::hang: both([](I &i) { i.hang(true); }, [](I &i) { i.hang(false); }); break;
+        case TroubleKind::crash:
+            for (auto *i : hit) desk.crash(*i);
+            break;
+        case TroubleKind::drain:
+            for (auto *i : hit) desk.staffDrains(*i);
+            break;
+        case TroubleKind::answersLost:
+            both([p = t.part](I &i) { i.answersLost = p; }, [](I &i) { i.answersLost = 0; });
+            break;
+        case TroubleKind::slowConnects:
+            both([](I &i) { i.slowConnects(true); }, [](I &i) { i.slowConnects(false); });
+            break;
+        case TroubleKind::neighbour:
+            both([x = t.times](I &i) { i.slow = x; }, [](I &i) { i.slow = 1; });
+            break;
+        case TroubleKind::pauses:
+            a.again = each([](I &i) { i.pause(std::chrono::milliseconds(400)); });
+            break;
+        case TroubleKind::fleetSlow:
+            world.fleetSlow = t.times, a.end = [this] { world.fleetSlow = 1; };
+            break;
+        case TroubleKind::listLate:
+            desk.listLate = Span{std::llround(t.times * 1e6)}, a.end = [this] { desk.listLate = Span{0}; };
+            break;
+        case TroubleKind::listFails: desk.listFails = true, a.end = [this] { desk.listFails = false; }; break;
+        case TroubleKind::deskStill:
+            desk.still = true, desk.stillCounts = t.votesCount, a.end = [this] { desk.still = false; };
+            break;
+        case TroubleKind::gatewayKilled:
+            for (auto *p : someGateways(t.count)) {
+                p->signal(SIGKILL);
+                out.records.halts.push_back({p->no, Halt::killed, clock.now(), Span::max()});
+                down.push_back({p->no, clock.now() + std::max(t.lasts, Span{std::chrono::milliseconds(100)}),
+                                out.records.halts.size() - 1, false});
+            }
+            break;
+        case TroubleKind::gatewayStalled:
+            for (auto *p : someGateways(t.count)) {
+                p->signal(SIGSTOP);
+                out.records.halts.push_back({p->no, Halt::stopped, clock.now(), Span::max()});
+                const auto halt = out.records.halts.size() - 1;
+                a.end = [this, before = a.end, no = std::size_t(p->no), halt] {
+                    if (before) before();
+                    processes[no].signal(SIGCONT);
+                    out.records.halts[halt].until = clock.now();
+                };
+            }
+            break;
+        case TroubleKind::burst: clients->burst = t.times, a.end = [this] { clients->burst = 1; }; break;
+        case TroubleKind::heedless:
+            clients->heedlessTimes = t.times, a.end = [this] { clients->heedlessTimes = 1; };
+            break;
+        case TroubleKind::lowReports:
+            both([](I &i) { i.lowReports = true; }, [](I &i) { i.lowReports = false; });
+            break;
+        case TroubleKind::probesFail:
+            both([](I &i) { i.probesFail = true; }, [](I &i) { i.probesFail = false; });
+            break;
+        }
+        active.push_back(std::move(a));
+    }
+
+    struct Down {
+        int no = 0;
+        Span startAt{};
+        std::size_t halt = 0;
+        bool started = false;
+    };
+    void revive(Span now) {
+        for (auto &d : down) {
+            auto &p = processes[std::size_t(d.no)];
+            if (!d.started && now >= d.startAt && p.over()) {
+                d.started = true;
+                if (!p.spawn(start)) return stop("a gateway can't be started again");
+            }
+        }
+        std::erase_if(down, [&](const Down &d) {
+            auto &p = processes[std::size_t(d.no)];
+            if (!d.started || !p.look()) return false;
+            out.records.halts[d.halt].until = clock.now();
+            return true;
+        });
+    }
+
+    // ---- the verdict ----
+    void judge() {
+        for (auto &h : out.records.halts) h.until = std::min(h.until, clock.now());
+        out.breaches = audit(out.records, figuresOf(day));
+        json routes = json::array();
+        double asked = 0, good = 0;
+        for (std::size_t k = 0; k < day.routes.size(); ++k) {
+            const auto &s = clients->service[k];
+            const auto &r = day.routes[k];
+            asked += s.asked * r.benefit, good += s.inTime * r.benefit;
+            routes.push_back({{"route", r.name},
+                              {"asked", s.asked},
+                              {"inTime", s.inTime},
+                              {"late", s.late},
+                              {"shed", s.shed},
+                              {"errored", s.errored},
+                              {"unanswered", s.none},
+                              {"wrong", s.wrong}});
+        }
+        double worst = 1;
+        const auto &seconds = clients->seconds;
+        for (std::size_t k = 0; k + 5 <= seconds.size(); ++k) {
+            double a = 0, b = 0;
+            for (std::size_t n = k; n < k + 5; ++n) a += seconds[n].asked, b += seconds[n].inTime;
+            if (a > 0) worst = std::min(worst, b / a);
+        }
+        json stages = json::array();
+        for (const auto &s : desk.stages)
+            stages.push_back({{"atMs", milliseconds(s.at - began)},
+                              {"build", s.stage.build},
+                              {"step", s.stage.step},
+                              {"phase", deckcart::nameOf(s.stage.phase)},
+                              {"cap", s.stage.cap}});
+        json votes = json::object();
+        for (const auto &[verdict, n] : desk.votesTaken) votes[deckcart::nameOf(verdict)] = n;
+        std::map<Rule, std::vector<const Breach *>> byRule;
+        for (const auto &b : out.breaches) byRule[b.rule].push_back(&b);
+        json rules = json::array();
+        for (int k = 1; k <= 5; ++k) {
+            const auto &list = byRule[Rule(k)];
+            json one{
+                {"rule", k}, {"name", nameOf(Rule(k))}, {"kept", list.empty()}, {"breaches", json::array()}};
+            for (std::size_t n = 0; n < std::min<std::size_t>(list.size(), 10); ++n)
+                one["breaches"].push_back({{"req", list[n]->req},
+                                           {"atMs", milliseconds(list[n]->at - began)},
+                                           {"words", list[n]->words}});
+            one["count"] = list.size();
+            rules.push_back(std::move(one));
+        }
+        const auto &last = desk.stage();
+        const bool released = last.build == world.trial && last.phase == deckcart::Phase::released;
+        const bool sentBack = last.build == world.trial && (last.phase == deckcart::Phase::goingBack ||
+                                                            last.phase == deckcart::Phase::withdrawn);
+        out.verdictRight = !day.releaseAt || (day.shouldRelease ? released : sentBack);
+        std::size_t twice = 0;
+        for (const auto &[mark, n] : world.effects) twice += n > 1;
+        out.report = {{"day", day.name},
+                      {"words", day.words},
+                      {"seed", day.seed},
+                      {"lastsMs", milliseconds(day.lasts)},
+                      {"gateways", processes.size()},
+                      {"instances", day.instances},
+                      {"service", asked > 0 ? good / asked : 0},
+                      {"worst5s", worst},
+                      {"routes", std::move(routes)},
+                      {"stages", std::move(stages)},
+                      {"votes", std::move(votes)},
+                      {"rules", std::move(rules)},
+                      {"marksRunTwice", twice},
+                      {"tries", out.records.instances.size()},
+                      {"fallen", out.records.fallen.size()},
+                      {"release", !day.releaseAt ? "none"
+                                  : released     ? "released"
+                                  : sentBack     ? "sent-back"
+                                                 : "on-trial"},
+                      {"expected", !day.releaseAt      ? "none"
+                                   : day.shouldRelease ? "released"
+                                                       : "sent-back"},
+                      {"verdictRight", out.verdictRight}};
+    }
+
+    const Day &day;
+    const RehearsalStart &start;
+    asio::io_context context{1};
+    SteadyClock clock;
+    Rehearsal out;
+    standin::World world;
+    standin::Desk desk;
+    std::mt19937_64 chance;
+    asio::steady_timer looking;
+    std::deque<Process> processes;
+    std::unique_ptr<standin::Clients> clients;
+    fs::path folder;
+    enum class Phase_ { starting, settings, waiting, day, ending } phase = Phase_::starting;
+    Span deadline{}, began{};
+    std::size_t settled = 0;
+    std::vector<Trouble> pending;
+    std::vector<Active> active;
+    std::vector<Down> down;
+};
+
+}  // namespace
+
+RuleFigures figuresOf(const Day &day) {
+    RuleFigures f;
+    for (const auto &r : day.routes) f.routes.push_back(r.rule);
+    f.drainGrace = day.drainGrace, f.spareTries = day.spareTries, f.exposureSpan = day.exposureSpan;
+    f.exposurePerRoute = day.exposurePerRoute, f.keysStay = day.keysStay, f.firstCap = day.caps.front();
+    f.guardedStages = day.guardedStages, f.firstBuild = 1;
+    return f;
+}
+
+Rehearsal rehearse(const Day &day, const RehearsalStart &start) { return Stage(day, start).play(); }
+
+std::string describe(const json &r) {
+    std::string out = fmt::format("{} (seed {}): {} gateways, {} instances, {:.0f} s\n  {}\n\n",
+                                  r["day"].get<std::string>(), r["seed"].get<int>(), r["gateways"].get<int>(),
+                                  r["instances"].get<int>(), r["lastsMs"].get<double>() / 1000,
+                                  r["words"].get<std::string>());
+    out += fmt::format("  {:<14}{:>8}{:>9}{:>7}{:>7}{:>9}{:>12}{:>7}\n", "route", "asked", "in time", "late",
+                       "shed", "errored", "unanswered", "wrong");
+    for (const auto &s : r["routes"])
+        out += fmt::format("  {:<14}{:>8.0f}{:>9.0f}{:>7.0f}{:>7.0f}{:>9.0f}{:>12.0f}{:>7.0f}\n",
+                           s["route"].get<std::string>(), s["asked"].get<double>(), s["inTime"].get<double>(),
+                           s["late"].get<double>(), s["shed"].get<double>(), s["errored"].get<double>(),
+                           s["unanswered"].get<double>(), s["wrong"].get<double>());
+    out +=
+        fmt::format("  service {:.3f} of the benefit asked for, worst 5 s {:.3f} (simulated instances)\n\n",
+                    r["service"].get<double>(), r["worst5s"].get<double>());
+    for (const auto &s : r["stages"])
+        out += fmt::format("  {:>7.1f} s  build {} step {} {} cap {:.2f}\n", s["atMs"].get<double>() / 1000,
+                           s["build"].get<int>(), s["step"].get<int>(), s["phase"].get<std::string>(),
+                           s["cap"].get<double>());
+    out += "  votes:";
+    for (const auto &[name, n] : r["votes"].items()) out += fmt::format(" {} {}", name, n.get<int>());
+    out += fmt::format("\n  release: {}, staff would expect: {}{}\n\n", r["release"].get<std::string>(),
+                       r["expected"].get<std::string>(),
+                       r["verdictRight"].get<bool>() ? "" : "  (WRONG VERDICT)");
+    for (const auto &rule : r["rules"]) {
+        out += fmt::format(
+            "  rule {} {:<38} {}\n", rule["rule"].get<int>(), rule["name"].get<std::string>(),
+            rule["kept"].get<bool>() ? "kept" : fmt::format("BROKEN {} times", rule["count"].get<int>()));
+        for (const auto &b : rule["breaches"])
+            out += fmt::format("      {:>8.3f} s  {}: {}\n", b["atMs"].get<double>() / 1000,
+                               b["req"].get<std::string>(), b["words"].get<std::string>());
+    }
+    return out;
+}
+
+}  // namespace deckcart::rehearsal
--- /dev/null
+++ b/src/standin/clients.cpp
@@ -0,0 +1,229 @@
+#include "clients.hpp"
+
+#include <cmath>
+
+#include "../http/fetch.hpp"
+
+namespace deckcart::standin {
+
+using rehearsal::ClientEnd;
+using rehearsal::ClientRecord;
+
+constexpr auto kGraceToHear = std::chrono::milliseconds(20);  // a client hangs up so long after its time
+
+struct Clients::Req {
+    int route = 0, tries = 0, mostTries = 1;
+    std::string key, account, mark;
+    double workMs = 0;
+    Span asked{}, givesUp{};
+};
+
+class Clients::Call : public http::CallSink, public std::enable_shared_from_this<Call> {
+  public:
+    Call(Clients &of, std::shared_ptr<Req> what) : clients(of), req(std::move(what)), timer(of.context) {}
+    void onAnswerHead(const http::AnswerHead &head) override { answer = head; }
+    void onAnswerBody(std::string_view) override {}
+    void onCallEnd(http::CallEnd how) override {
+        const auto held = shared_from_this();
+        ended = how;
+        clients.over(*this);
+    }
+
+    Clients &clients;
+    std::shared_ptr<Req> req;
+    std::uint64_t no = 0;
+    std::size_t record = 0;
+    int gateway = 0;
+    bool timedOut = false;
+    http::CallEnd ended = http::CallEnd::broken;
+    http::AnswerHead answer;
+    std::shared_ptr<http::ClientConnection> connection;
+    asio::steady_timer timer;
+};
+
+Clients::Clients(asio::io_context &io, World &in, std::vector<Place> to, std::uint64_t seed)
+    : service(in.day.routes.size()), context(io), world(in), gateways(std::move(to)), chance(seed), next(io),
+      idleTo(gateways.size()) {}
+
+Clients::~Clients() {
+    for (auto &[no, call] : calls) call->connection->drop();
+    for (auto &list : idleTo)
+        for (auto &one : list) one->onIdleClosed = nullptr, one->drop();
+}
+
+void Clients::start(Span end) {
+    begun = nextAt = world.clock.now(), until = end;
+    seconds.resize(std::size_t((until - begun) / std::chrono::seconds(1)) + 1);
+    arrive();
+}
+
+void Clients::arrive() {
+    nextAt += Span{std::llround(-std::log(1 - chance01()) / (world.day.reqsPerS * burst) * 1e6)};
+    if (nextAt >= until) return void(ended = true);
+    next.expires_after(std::max(Span{0}, nextAt - world.clock.now()));
+    next.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (fault || here.expired()) return;
+        const auto &d = world.day;
+        const auto req = std::make_shared<Req>();
+        double sum = 0;
+        for (const auto &r : d.routes) sum += r.share;
+        double at = chance01() * sum;
+        while (req->route + 1 < int(d.routes.size()) && at >= d.routes[std::size_t(req->route)].share)
+            at -= d.routes[std::size_t(req->route++)].share;
+        const auto &r = d.routes[std::size_t(req->route)];
+        // A few keys are far more popular than the rest.
+        req->key = "k" + std::to_string(int(d.keys * std::pow(chance01(), 3)));
+        double who = chance01();
+        for (std::size_t k = 0; k < d.accounts.size(); ++k)
+            if ((who -= d.accountShares[k]) < 0 || k + 1 == d.accounts.size()) {
+                req->account = d.accounts[k];
+                break;
+            }
+        req->mark = "m" + std::to_string(++named);
+        req->workMs = r.leastWorkMs + (r.mostWorkMs - r.leastWorkMs) * chance01();
+        req->asked = world.clock.now(), req->givesUp = req->asked + r.routeTimeout;
+        req->mostTries = 1 + d.retries;
+        const bool heedless = heedlessTimes > 1 && !d.accounts.empty() && req->account == d.accounts.front();
+        if (heedless) req->mostTries = int(heedlessTimes);
+        service[std::size_t(req->route)].asked += 1;
+        ask(req);
+        arrive();
+    });
+}
+
+void Clients::ask(std::shared_ptr<Req> req, int avoid) {
+    const auto &d = world.day;
+    const Span now = world.clock.now();
+    double sum = 0;
+    for (std::size_t k = 0; k < gateways.size(); ++k) sum += int(k) == avoid ? 0 : gateways[k].weight;
+    double at = chance01() * sum;
+    int gateway = 0;
+    for (std::size_t k = 0; k < gateways.size(); ++k) {
+        if (int(k) == avoid) continue;
+        gateway = int(k);
+        if ((at -= gateways[k].weight) < 0) break;
+    }
+    const auto call = std::make_shared<Call>(*this, req);
+    call->no = ++named, call->gateway = gateway, call->record = world.records.clients.size();
+    ++req->tries;
+    const auto &r = d.routes[std::size_t(req->route)];
+    const Span patience = Span{std::llround(double(r.routeTimeout.count()) *
+                                            (d.leastPatience + (1 - d.leastPatience) * chance01()))};
+    ClientRecord record;
+    record.req = "r" + std::to_string(call->no), record.route = req->route, record.gateway = gateway,
+    record.key = req->key;
+    record.sent = now, record.givesUp = std::min(now + patience, req->givesUp);
+    const Span left = record.givesUp - now;
+    auto &idle = idleTo[std::size_t(gateway)];
+    while (!idle.empty() && !idle.back()->reusable()) idle.pop_back();
+    if (idle.empty())
+        call->connection = std::make_shared<http::ClientConnection>(context, std::size_t{16384});
+    else call->connection = idle.back(), idle.pop_back(), call->connection->onIdleClosed = nullptr;
+    http::RequestHead head;
+    head.method = r.method, head.target = "/" + r.name + "/" + req->key;
+    head.headers = {{"Host", "relay"},
+                    {"X-Request-Id", record.req},
+                    {"X-Key", req->key},
+                    {"Idempotency-Key", req->mark},
+                    {"X-Work-Ms", std::to_string(req->workMs)},
+                    {"X-Remaining-Ms", std::to_string(left.count() / 1000)}};
+    if (!req->account.empty()) head.headers.push_back({"X-Account", req->account});
+    if (req->tries > 1) head.headers.push_back({"X-Repeat", "1"});
+    head.length = 5;
+    world.records.clients.push_back(std::move(record));
+    calls[call->no] = call;
+    call->timer.expires_after(left + kGraceToHear);
+    call->timer.async_wait(
+        [this, weak = std::weak_ptr(call), here = std::weak_ptr(alive)](asio::error_code fault) {
+            const auto late = weak.lock();
+            if (fault || !late || here.expired() || !calls.contains(late->no)) return;
+            late->timedOut = true;
+            late->connection->drop();
+            over(*late);
+        });
+    call->connection->call(gateways[std::size_t(gateway)].listen, left, http::write(head) + "hello", false,
+                           call.get());
+}
+
+void Clients::over(Call &call) {
+    const auto held = call.shared_from_this();
+    calls.erase(call.no);
+    call.timer.cancel();
+    const Span now = world.clock.now();
+    auto &record = world.records.clients[call.record];
+    const auto req = call.req;
+    const auto *said = call.answer.find("Deckcart-End");
+    bool wrong = false;
+    Span back = std::chrono::milliseconds(100);
+    if (call.timedOut) record.end = ClientEnd::none;
+    else if (call.ended == http::CallEnd::complete) {
+        record.answers = 1, record.answered = now;
+        const std::string end = said ? *said : "";
+        record.end = end == "completed" ? ClientEnd::completed
+                     : end == "shed"    ? ClientEnd::shed
+                                        : ClientEnd::errored;
+        if (const auto *build = call.answer.find("X-Build")) record.build = std::atoi(build->c_str());
+        wrong = call.answer.find("X-Wrong") != nullptr;
+        if (const auto *ms = call.answer.find("Deckcart-Retry-Ms"))
+            back = std::chrono::milliseconds(std::atoi(ms->c_str()));
+        // The connection stays watched: a second answer would come on it.
+        call.connection->onIdleClosed = [this, record_ = call.record, weak = std::weak_ptr(call.connection),
+                                         here = std::weak_ptr(alive)] {
+            const auto one = weak.lock();
+            if (here.expired() || !one) return;
+            if (one->spokeUnasked()) ++world.records.clients[record_].answers;
+        };
+        if (call.connection->spokeUnasked()) ++record.answers;
+        if (call.connection->reusable()) idleTo[std::size_t(call.gateway)].push_back(call.connection);
+    } else {
+        const bool unread = call.ended == http::CallEnd::connectFailed || !call.connection->handedOver();
+        record.end = unread ? ClientEnd::unreached : ClientEnd::cut;
+    }
+    const auto &d = world.day;
+    const auto &rule = d.routes[std::size_t(req->route)].rule;
+    if (wrong && d.wrongReported > 0 && chance01() < d.wrongReported) {
+        const auto timer =
+            std::make_shared<asio::steady_timer>(context, Span{std::llround(4e5 + 1.5e6 * chance01())});
+        timer->async_wait([this, timer, id = record.req, gateway = call.gateway,
+                           here = std::weak_ptr(alive)](asio::error_code) {
+            if (here.expired()) return;
+            http::RequestHead head;
+            head.method = "POST", head.target = "/v1/wrong-answers";
+            http::Fetch::start(context, gateways[std::size_t(gateway)].api, head,
+                               nlohmann::json{{"req", id}}.dump(), std::chrono::seconds(1), nullptr);
+        });
+    }
+    const bool done = record.end == ClientEnd::completed;
+    // May it be asked again: safe by its route, or by what the answer says.
+    const bool safe = rule.effect == Effect::retriable || record.end == ClientEnd::shed ||
+                      record.end == ClientEnd::unreached ||
+                      (rule.effect == Effect::deduped && now + back <= req->asked + rule.repeatWindow);
+    if (done || !safe || req->tries >= req->mostTries || now + back >= req->givesUp)
+        return settle(*req, record.end, wrong, now);
+    const bool heedless = req->mostTries > 1 + d.retries;
+    const int avoid = record.end == ClientEnd::unreached && gateways.size() > 1 ? call.gateway : -1;
+    ++waiting;
+    const auto timer = std::make_shared<asio::steady_timer>(context, heedless ? Span{0} : back);
+    timer->async_wait([this, timer, req, avoid, here = std::weak_ptr(alive)](asio::error_code) {
+        if (here.expired()) return;
+        --waiting;
+        ask(req, avoid);
+    });
+}
+
+void Clients::settle(const Req &req, ClientEnd end, bool wrong, Span at) {
+    auto &s = service[std::size_t(req.route)];
+    const auto &r = world.day.routes[std::size_t(req.route)];
+    const bool inTime = end == ClientEnd::completed && at <= req.asked + r.rule.latencyObjective;
+    if (wrong) s.wrong += 1;
+    else if (inTime) s.inTime += 1;
+    else if (end == ClientEnd::completed) s.late += 1;
+    else if (end == ClientEnd::shed) s.shed += 1;
+    else if (end == ClientEnd::errored) s.errored += 1;
+    else s.none += 1;
+    auto &second =
+        seconds[std::min(seconds.size() - 1, std::size_t((req.asked - begun) / std::chrono::seconds(1)))];
+    second.asked += r.benefit, second.inTime += inTime && !wrong ? r.benefit : 0;
+}
+
+}  // namespace deckcart::standin
--- /dev/null
+++ b/src/standin/clients.hpp
@@ -0,0 +1,57 @@
+// Stand-ins for clinics' and shops' systems: an open loop of reqs with keys, accounts, marks and time-outs of
+// their own, each tried again at most once, and a record of what came back.
+#pragma once
+
+#include "../http/client.hpp"
+#include "instance.hpp"
+
+namespace deckcart::standin {
+
+class Clients {
+  public:
+    struct Place {
+        asio::ip::tcp::endpoint listen, api;
+        double weight = 1;
+    };
+    Clients(asio::io_context &context, World &world, std::vector<Place> gateways, std::uint64_t seed);
+    ~Clients();
+
+    void start(Span until);
+    bool idle() const { return ended && calls.empty() && waiting == 0; }
+    double burst = 1;          // times the usual rate
+    double heedlessTimes = 1;  // tries of the first account's clients for each req
+
+    // By route, of the reqs asked: how they ended, retries counted as part of the first try.
+    struct Service {
+        double asked = 0, inTime = 0, late = 0, shed = 0, errored = 0, none = 0, wrong = 0;
+    };
+    std::vector<Service> service;
+    struct Second {
+        double asked = 0, inTime = 0;  // benefit
+    };
+    std::vector<Second> seconds;  // since the start
+
+  private:
+    struct Req;
+    class Call;
+    void arrive();
+    void ask(std::shared_ptr<Req> req, int avoid = -1);
+    void over(Call &call);
+    void settle(const Req &req, rehearsal::ClientEnd end, bool wrong, Span at);
+    double chance01() { return std::generate_canonical<double, 32>(chance); }
+
+    asio::io_context &context;
+    World &world;
+    std::vector<Place> gateways;
+    std::mt19937_64 chance;
+    asio::steady_timer next;
+    Span begun{}, until{}, nextAt{};
+    bool ended = false;
+    int waiting = 0;
+    std::uint64_t named = 0;
+    std::map<std::uint64_t, std::shared_ptr<Call>> calls;
+    std::vector<std::vector<std::shared_ptr<http::ClientConnection>>> idleTo;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace deckcart::standin
--- /dev/null
+++ b/src/standin/desk.hpp
@@ -0,0 +1,89 @@
+// A stand-in for the desk and the fleet behind it: starts and drains instances, moves a release through its
+// stages by votes, and tells gateways by list and watch, late by as much as the day says.
+#pragma once
+
+#include "../base/address.hpp"
+#include "../gateway/desk_client.hpp"
+#include "instance.hpp"
+
+namespace deckcart::standin {
+
+class Desk {
+  public:
+    Desk(asio::io_context &context, World &world, std::uint64_t seed);
+
+    std::string address() const { return format(door.address()); }
+    void start();  // the day's first instances, long since warm; call it before gateways list
+    void dayBegins(Span at) { dayBegan = at; }
+    void tick();  // moves the release; called every few milliseconds
+    std::vector<Instance *> instances(const std::string &where) const;  // running: any, trial or earlier
+    void staffDrains(Instance &which);
+    void crash(Instance &which);
+
+    bool still = false, stillCounts = false, listFails = false;
+    Span listLate{};
+    // What was seen, for the report.
+    struct StageSeen {
+        Span at{};
+        ToldStage stage;
+    };
+    std::vector<StageSeen> stages;
+    std::map<Verdict, int> votesTaken;
+    const ToldStage &stage() const { return now; }
+
+  private:
+    struct Member {
+        std::unique_ptr<Instance> instance;
+        Readiness readiness = Readiness::live;
+        Span leavesAt{};
+        bool listed = false;  // its process runs
+        Span listedAt{};
+    };
+    struct Vote {
+        int step = 0;
+        Verdict verdict = Verdict::none;
+        Span until{};
+    };
+    struct Watcher {
+        std::shared_ptr<http::Exchange> exchange;
+        int gateway = 0;
+        std::size_t next = 0;
+    };
+
+    void serve(std::shared_ptr<http::Exchange> exchange);
+    void list(http::Exchange &exchange, int gateway);
+    void watch(std::shared_ptr<http::Exchange> exchange, int gateway, std::size_t from);
+    void vote(std::shared_ptr<http::Exchange> exchange);
+    void publish(nlohmann::json event, Span after);
+    void tell(Watcher &watcher);
+    void noteTold(int gateway, const nlohmann::json &event);
+    void changed(const Member &member);
+    ToldStage toldStage() const;
+    void enter(int step, Phase phase);
+    void startInstances(BuildNo build, int wanted, bool warm);
+    void drain(Member &member);
+    int running(BuildNo build) const;  // live and listed
+    int standing(BuildNo build, Verdict verdict) const;
+    Span newsDelay();
+    int stageCount(int step) const;
+    void tally();
+
+    asio::io_context &context;
+    World &world;
+    std::mt19937_64 chance;
+    std::vector<Member> members;
+    std::map<ServerId, nlohmann::json> published;
+    nlohmann::json publishedStage;
+    std::vector<nlohmann::json> events;  // by version - 1
+    std::vector<std::shared_ptr<Watcher>> watchers;
+    std::map<std::string, Vote> votes;               // by gateway
+    std::map<std::string, nlohmann::json> answered;  // by the key of a vote: a repeat acts once
+    ToldStage now;
+    Span dayBegan{}, nowSince{}, publishedSince{}, allRunningSince{}, bookmarkAt{}, listDue{}, stageDue{},
+        tallyAt{}, oldLeaveAt{};
+    int starts = 0;
+    bool began = false;
+    http::Door door;
+};
+
+}  // namespace deckcart::standin
--- /dev/null
+++ b/src/standin/instance.hpp
@@ -0,0 +1,93 @@
+// A stand-in for a relay node: cores and a queue in front of them, cold at its start, falls over when it is
+// pushed while cold, forgets no mark within the window, and fails as its build or its trouble tells it to.
+#pragma once
+
+#include <asio.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <random>
+
+#include "../http/server.hpp"
+#include "../rehearsal/audit.hpp"
+#include "../rehearsal/day.hpp"
+
+namespace deckcart::standin {
+
+// What all instances of a day share: who is slow, how the build on trial is faulty, what was seen.
+struct World {
+    World(const rehearsal::Day &of, const Clock &time, rehearsal::Records &into)
+        : day(of), clock(time), records(into) {}
+
+    const rehearsal::Day &day;
+    const Clock &clock;
+    rehearsal::Records &records;
+    BuildNo trial = 2;
+    double fleetSlow = 1;
+    std::deque<Span> trialWork;  // tries at the trial build of late, for one that slows all
+    std::deque<Span> allWork;
+    struct Done {
+        BuildNo build = 0;
+        int route = 0;
+        bool lost = false;
+        Span took{};
+    };
+    std::vector<Done> finished;          // since the platform counted last
+    std::map<std::string, int> effects;  // how often each mark of a req with an effect has run
+};
+
+class Instance {
+  public:
+    Instance(asio::io_context &context, World &world, BuildNo build, int zone, std::uint64_t seed);
+
+    ServerId id() const { return name; }
+    Span startedAt() const { return started; }
+    BuildNo build() const { return runs; }
+    int zone() const { return where; }
+    bool down() const { return !door; }
+    void startLongAgo() { started -= std::chrono::hours(1); }
+    void die();  // at once, with its connections
+    void hang(bool on);
+    void pause(Span lasts);
+    void slowConnects(bool on);
+    double slow = 1;  // a neighbour takes of its machine
+    double answersLost = 0;
+    bool lowReports = false, probesFail = false;
+    std::function<void(const Instance &)> onFell;
+
+  private:
+    struct Job {
+        std::shared_ptr<http::Exchange> exchange;
+        int route = 0;
+        double workMs = 0;
+        Span came{};
+    };
+    void serve(std::shared_ptr<http::Exchange> exchange);
+    void probe(http::Exchange &exchange);
+    void begin();
+    void finish(const Job &job);
+    double warmth() const;
+    bool pushedOver(double workMs);
+    bool faulty(const Job &job, rehearsal::BadKind kind);
+    double buildTimes();
+    void blinkConnects();
+
+    asio::io_context &context;
+    World &world;
+    BuildNo runs;
+    int where;
+    std::mt19937_64 chance;
+    Span started;
+    std::unique_ptr<http::Door> door;
+    ServerId name;
+    std::deque<Job> waiting;
+    int busy = 0;
+    bool hung = false, connectsSlow = false;
+    Span pausedUntil{};
+    std::deque<std::pair<Span, double>> sentCold;  // work in ms
+    std::map<std::string, Span> marks;             // when each was taken
+    double meanMs = 1;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+}  // namespace deckcart::standin
