--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -548,8 +548,7 @@
     Req &rq = *it->second;
     const int no = int(rq.tries.size());
     ServerId server = what.server;
-    if (faults.sendsAfterDrain && !lastServer.empty()) server = lastServer;
-    lastServer = server;
+    if (faults.sendsAfterDrain && !drainingServer.empty() && no == 0) server = drainingServer;
     const auto moot = [&](Outcome how) {
         Try none;
         none.server = what.server, none.over = true, none.how = how, none.sent = turn();
@@ -775,6 +774,7 @@
         if (e.readiness == Readiness::gone) list.erase(e.id);
         else list[e.id] = e;
         if (e.readiness != Readiness::live) pool.closeIdle(e.id);
+        if (e.readiness == Readiness::draining) drainingServer = e.id;
     }
     if (onListed) onListed();
 }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -20,7 +20,7 @@
 
 // Faults of the shell that a rehearsal asks for, to show that its auditor finds them. Never set in service.
 struct ShellFaults {
-    bool sendsAfterDrain = false;      // goes on sending where it last sent, whatever the list says
+    bool sendsAfterDrain = false;      // first tries go to what was listed as draining last
     bool answersTwice = false;         // writes a second answer behind each first one
     bool repeatsNonRetriable = false;  // sends a try of a non-retriable req again by itself
 };
@@ -140,7 +140,7 @@
     asio::steady_timer sweeper;
     GatewayCounts counted;
     std::function<void()> drained;
-    ServerId lastServer;  // for the fault that sends after a drain
+    ServerId drainingServer;  // for the fault that sends after a drain
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     http::Door door;  // last: it calls into all of the above
 };
--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -63,7 +63,8 @@
     "lastsMs": {"type": "number", "minimum": 1000, "maximum": 600000},
     "seed": {"type": "integer", "minimum": 0},
     "gateways": {"type": "object", "additionalProperties": false, "required": ["weights"], "properties": {
-      "weights": {"type": "array", "minItems": 1, "maxItems": 32, "items": {"type": "number", "exclusiveMinimum": 0}}}},
+      "weights": {"type": "array", "minItems": 1, "maxItems": 32, "items": {"type": "number", "exclusiveMinimum": 0}},
+      "told": {"type": "integer", "minimum": 1, "maximum": 65536}}},
     "instances": {"type": "object", "additionalProperties": false, "required": ["count"], "properties": {
       "count": {"type": "integer", "minimum": 1, "maximum": 64},
       "cores": {"type": "integer", "minimum": 1, "maximum": 64},
@@ -135,6 +136,9 @@
     d.name = document.at("name"), d.words = document.value("words", std::string{});
     d.lasts = ms(document, "lastsMs", 0), d.seed = document.value("seed", std::uint64_t{1});
     document.at("gateways").at("weights").get_to(d.gatewayWeights);
+    d.gatewaysTold = document.at("gateways").value("told", int(d.gatewayWeights.size()));
+    if (d.gatewaysTold < int(d.gatewayWeights.size()))
+        refuse("/gateways/told", "is below the number of /gateways/weights");
     const json &in = document.at("instances");
     d.instances = in.at("count"), d.cores = in.value("cores", d.cores), d.queue = in.value("queue", d.queue);
     d.zones = in.value("zones", std::vector<std::string>{"a"});
@@ -230,7 +234,7 @@
     json s{{"gateway",
             {{"id", "g" + std::to_string(gateway)},
              {"index", gateway},
-             {"count", d.gatewayWeights.size()},
+             {"count", d.gatewaysTold},
              {"zone", d.zones[std::size_t(gateway) % d.zones.size()]},
              {"seed", d.seed * 1000 + std::uint64_t(gateway)}}},
            {"zones", d.zones},
--- a/src/rehearsal/day.hpp
+++ b/src/rehearsal/day.hpp
@@ -65,6 +65,7 @@
     Span lasts{};
     std::uint64_t seed = 1;
     std::vector<double> gatewayWeights;  // parts of the traffic; one a gateway
+    int gatewaysTold = 1;                // how many their settings speak of: the others are idle
     int instances = 8, cores = 2, queue = 64;
     std::vector<std::string> zones;
     double coldFrom = 0.4, tipMultiple = 3;
--- a/src/standin/instance.cpp
+++ b/src/standin/instance.cpp
@@ -151,6 +151,14 @@
             times *= 1 + (world.day.bad.times - 1) * double(world.trialWork.size()) /
                              std::max(1.0, double(world.allWork.size()));
         }
+        // All instances drop a repeat within the window, from when the first of them takes it up.
+        const auto &rule = world.day.routes[std::size_t(job.route)].rule;
+        if (const std::string *mark = job.exchange->head.find("Idempotency-Key");
+            mark && rule.effect == Effect::deduped) {
+            const auto seen = world.marks.find(*mark);
+            job.repeat = seen != world.marks.end() && now - seen->second <= rule.repeatWindow;
+            if (!job.repeat) world.marks[*mark] = now;
+        }
         ++busy;
         const auto timer =
             std::make_shared<asio::steady_timer>(context, Span{std::llround(job.workMs * times * 1000)});
@@ -177,12 +185,10 @@
     const bool old = now - started >= world.day.bad.after;
     const bool fails = faulty(job, BadKind::fails) || (old && faulty(job, BadKind::later)) ||
                        (int(waiting.size()) >= world.day.cores && faulty(job, BadKind::busy));
-    if (const std::string *mark = head.find("Idempotency-Key");
-        mark && route.rule.effect != Effect::retriable && !fails) {
-        const auto seen = marks.find(*mark);
-        const bool repeat = route.rule.effect == Effect::deduped && seen != marks.end() &&
-                            now - seen->second <= route.rule.repeatWindow;
-        if (!repeat) ++world.effects[*mark], marks[*mark] = now;
+    const std::string *mark = head.find("Idempotency-Key");
+    if (mark && !job.repeat && route.rule.effect != Effect::retriable) {
+        if (!fails) ++world.effects[*mark];
+        else world.marks.erase(*mark);  // nothing was done: a repeat is none
     }
     if (world.day.tallies) world.finished.push_back({runs, job.route, fails, now - job.came});
     if (std::generate_canonical<double, 32>(chance) < answersLost) return job.exchange->abort();
--- a/src/standin/instance.hpp
+++ b/src/standin/instance.hpp
@@ -33,6 +33,7 @@
         Span took{};
     };
     std::vector<Done> finished;          // since the platform counted last
+    std::map<std::string, Span> marks;   // of deduped reqs: when each was taken up
     std::map<std::string, int> effects;  // how often each mark of a req with an effect has run
 };
 
@@ -61,6 +62,7 @@
         int route = 0;
         double workMs = 0;
         Span came{};
+        bool repeat = false;
     };
     void serve(std::shared_ptr<http::Exchange> exchange);
     void probe(http::Exchange &exchange);
@@ -85,7 +87,6 @@
     bool hung = false, connectsSlow = false;
     Span pausedUntil{};
     std::deque<std::pair<Span, double>> sentCold;  // work in ms
-    std::map<std::string, Span> marks;             // when each was taken
     double meanMs = 1;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
