--- /dev/null
+++ b/bench/gateway_bench.cpp
@@ -0,0 +1,175 @@
+// Load by hand, one process a role: `instance` answers at once; `load` keeps connections busy (closed loop)
+// or sends on a schedule (open loop, latencies from when each req was due, so a stall is not left out). See
+// bench/run-gateway.
+#include <CLI/CLI.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include "../src/base/address.hpp"
+#include "../src/gateway/desk_client.hpp"
+#include "../src/http/client.hpp"
+#include "../src/http/server.hpp"
+
+namespace {
+
+using namespace deckcart;
+using nlohmann::json;
+
+// Many instances and their desk in one process; ids on standard output.
+int serve(int count) {
+    asio::io_context io{1};
+    std::vector<std::unique_ptr<http::Door>> doors;
+    json entries = json::array();
+    for (int k = 0; k < count; ++k) {
+        http::DoorLimits limits;
+        limits.idleFor = std::chrono::minutes(10);
+        doors.push_back(std::make_unique<http::Door>(io, *parseAddress("127.0.0.1:0"), limits,
+                                                     [](std::shared_ptr<http::Exchange> e) {
+                                                         http::AnswerHead head;
+                                                         head.status = 200;
+                                                         e->answer(std::move(head), "done\n");
+                                                     }));
+        ListedServer s;
+        s.id = format(doors.back()->address()), s.build = 1;
+        entries.push_back(toJson(s));
+    }
+    std::vector<std::shared_ptr<http::Exchange>> watchers;
+    http::Door desk(io, *parseAddress("127.0.0.1:0"), {}, [&](std::shared_ptr<http::Exchange> e) {
+        http::AnswerHead head;
+        head.status = 200;
+        if (e->head.target.find("watch=") != std::string::npos) {
+            head.chunked = true;
+            e->begin(head);
+            return void(watchers.push_back(e));
+        }
+        const ToldStage stage{1, 0, Phase::released, 1, std::chrono::hours(1)};
+        e->answer(head, json{{"version", 1}, {"instances", entries}, {"stage", toJson(stage)}}.dump());
+    });
+    std::cout << json{{"desk", format(desk.address())}, {"instance", entries[0]["id"]}}.dump() << std::endl;
+    asio::steady_timer beat(io);
+    std::function<void()> tick = [&] {
+        for (const auto &w : watchers) w->write("{\"version\":1,\"kind\":\"bookmark\"}\n");
+        beat.expires_after(std::chrono::seconds(1));
+        beat.async_wait([&](asio::error_code) { tick(); });
+    };
+    tick();
+    io.run();
+    return 0;
+}
+
+struct Load;
+struct Caller : http::CallSink {
+    Caller(Load &of) : load(of) {}
+    void onAnswerHead(const http::AnswerHead &head) override { good = head.status == 200; }
+    void onAnswerBody(std::string_view) override {}
+    void onCallEnd(http::CallEnd how) override;
+    Load &load;
+    std::shared_ptr<http::ClientConnection> connection;
+    Span due{};
+    bool good = false, busy = false;
+};
+
+struct Load {
+    asio::io_context io{1};
+    SteadyClock clock;
+    asio::ip::tcp::endpoint to;
+    double rate = 0;  // 0: closed loop
+    Span until{}, from{}, nextAt{};
+    std::deque<Caller> callers;
+    std::deque<Span> waiting;  // due, no caller free
+    std::vector<double> tookMs;
+    std::uint64_t done = 0, bad = 0, named = 0;
+    std::mt19937_64 chance{1};
+    asio::steady_timer timer{io};
+
+    void call(Caller &c, Span due) {
+        c.busy = true, c.due = due, c.good = false;
+        if (!c.connection || !c.connection->reusable())
+            c.connection = std::make_shared<http::ClientConnection>(io, std::size_t{16384});
+        ++named;
+        const std::string bytes = "GET /status/" + std::to_string(named) +
+                                  " HTTP/1.1\r\nHost: relay\r\nX-Key: k" + std::to_string(named % 997) +
+                                  "\r\n\r\n";
+        c.connection->call(to, std::chrono::seconds(5), bytes, false, &c);
+    }
+    void over(Caller &c) {
+        const Span now = clock.now();
+        c.busy = false;
+        if (now >= from) ++done, bad += !c.good, tookMs.push_back(milliseconds(now - c.due));
+        if (now >= until) return io.stop();
+        // On a turn of its own: the connection is still in its call back.
+        asio::post(io, [this, &c] {
+            if (rate == 0) return call(c, clock.now());
+            if (waiting.empty()) return;
+            const Span due = waiting.front();
+            waiting.pop_front();
+            call(c, due);
+        });
+    }
+    void schedule() {
+        const Span now = clock.now();
+        while (nextAt <= now) {
+            const auto free = std::ranges::find(callers, false, &Caller::busy);
+            if (free != callers.end()) call(*free, nextAt);
+            else waiting.push_back(nextAt);
+            nextAt += Span{std::max<long>(
+                1, std::lround(-std::log(1 - std::generate_canonical<double, 32>(chance)) / rate * 1e6))};
+        }
+        if (now >= until) return io.stop();
+        timer.expires_after(std::max(Span{0}, nextAt - now));
+        timer.async_wait([this](asio::error_code) { schedule(); });
+    }
+    int run(int connections, double seconds) {
+        from = clock.now() + std::chrono::seconds(1), nextAt = clock.now();
+        until = from + Span{std::llround(seconds * 1e6)};
+        for (int k = 0; k < connections; ++k) callers.emplace_back(*this);
+        if (rate > 0) schedule();
+        else
+            for (auto &c : callers) call(c, clock.now());
+        io.run();
+        std::ranges::sort(tookMs);
+        const auto at = [&](double q) {
+            return tookMs.empty()
+                       ? 0
+                       : tookMs[std::min(tookMs.size() - 1, std::size_t(q * double(tookMs.size())))];
+        };
+        std::cout << json{{"perS", double(done) / seconds},
+                          {"bad", bad},
+                          {"p50ms", at(0.5)},
+                          {"p99ms", at(0.99)}}
+                         .dump()
+                  << std::endl;
+        return 0;
+    }
+};
+
+void Caller::onCallEnd(http::CallEnd how) {
+    good = good && how == http::CallEnd::complete;
+    load.over(*this);
+}
+
+}  // namespace
+
+int main(int argc, char **argv) {
+    CLI::App app{"load for the gateway's measurements"};
+    app.require_subcommand(1);
+    int count = 10, connections = 64;
+    double seconds = 5, rate = 0;
+    std::string to;
+    auto *instance = app.add_subcommand("instances");
+    instance->add_option("--count", count);
+    auto *load = app.add_subcommand("load");
+    load->add_option("--to", to)->required();
+    load->add_option("--connections", connections);
+    load->add_option("--seconds", seconds);
+    load->add_option("--rate", rate);
+    CLI11_PARSE(app, argc, argv);
+    if (instance->parsed()) return serve(count);
+    Load l;
+    l.to = *parseAddress(to), l.rate = rate;
+    return l.run(connections, seconds);
+}
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -482,7 +482,7 @@
         const auto from = std::chrono::steady_clock::now();
         const auto actions = policy.decide(record, now, one);
         counted.deciding += std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - from);
-        ++counted.decisions, ++counted.events;
+        ++counted.decisions;
         for (const auto &action : actions) carryOut(record, action);
     }
     deciding = false;
@@ -606,15 +606,9 @@
         finish(rq, "errored", 502, Span{0});
         over = true;
     }
-    if (faults.repeatsNonRetriable && how == Outcome::reset && !rq.answered) {
-        const auto again = pool.take(t.server);
-        if (const auto to = parseAddress(t.server); to && again) {
-            http::RequestHead head;
-            head.method = rq.exchange->head.method, head.target = rq.exchange->head.target;
-            head.headers = rq.exchange->head.headers, head.length = rq.exchange->body.size();
-            http::Fetch::start(context, *to, head, rq.exchange->body, given.upstream.stalledFor, nullptr);
-            pool.give(t.server, again, lastSeen);
-        }
+    if (const auto to = parseAddress(t.server); faults.repeatsNonRetriable && how == Outcome::reset && to) {
+        http::RequestHead head = rq.exchange->head;
+        http::Fetch::start(context, *to, head, rq.exchange->body, given.upstream.stalledFor, nullptr);
     }
     const Span took = turn() - t.sent;
     happened(
