--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 
 #include "../base/address.hpp"
 #include "../gateway/service.hpp"
+#include "api_calls.hpp"
 #include "rehearse.hpp"
 
 namespace {
@@ -43,6 +44,21 @@
     gateway->add_option("--shell-fault", faults, "for rehearsals of the auditor: a fault of the data path")
         ->check(CLI::IsMember(kShellFaults));
 
+    std::string file;
+    auto *settings = app.add_subcommand("settings", "a gateway's settings");
+    settings->require_subcommand(1);
+    const auto atApi = [&](CLI::App *command) {
+        command->add_option("--api", api, "the gateway's API")->required()->check(address());
+        return command;
+    };
+    auto *settingsGet = atApi(settings->add_subcommand("get", "print those in force"));
+    auto *settingsApply = atApi(settings->add_subcommand("apply", "give it a document"));
+    settingsApply->add_option("file", file, "a JSON document, - for standard input")->required();
+    auto *settingsCheck = settings->add_subcommand("check", "check a document without a gateway");
+    settingsCheck->add_option("file", file, "a JSON document, - for standard input")->required();
+    auto *status = atApi(app.add_subcommand("status", "a gateway's counts"));
+    auto *members = atApi(app.add_subcommand("members", "the instances and the stage as a gateway was told"));
+
     deckcart::cli::RehearseWords words;
     auto *rehearse =
         app.add_subcommand("rehearse", "play days of trouble through real gateways and judge the rules");
@@ -79,6 +95,11 @@
         }
         return deckcart::runGateway(start);
     }
+    if (settingsGet->parsed()) return deckcart::cli::get(api, "/v1/settings");
+    if (settingsApply->parsed()) return deckcart::cli::applySettings(api, file);
+    if (settingsCheck->parsed()) return deckcart::cli::checkSettings(file);
+    if (status->parsed()) return deckcart::cli::get(api, "/v1/status");
+    if (members->parsed()) return deckcart::cli::get(api, "/v1/members");
     if (rehearse->parsed()) return deckcart::cli::rehearse(words);
     if (audit->parsed()) return deckcart::cli::audit(day, records);
     return 2;
