--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -481,7 +481,8 @@
         const Span now = turn();
         const auto from = std::chrono::steady_clock::now();
         const auto actions = policy.decide(record, now, one);
-        counted.deciding += std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - from);
+        const auto took = std::chrono::duration_cast<Span>(std::chrono::steady_clock::now() - from);
+        counted.deciding += took, counted.longestDeciding = std::max(counted.longestDeciding, took);
         ++counted.decisions;
         for (const auto &action : actions) carryOut(record, action);
     }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -29,7 +29,7 @@
     std::uint64_t taken = 0, completed = 0, shed = 0, errored = 0, gone = 0;
     std::uint64_t tries = 0, overdue = 0, standstills = 0, turnedAway = 0, unrouted = 0;
     std::uint64_t decisions = 0;
-    Span deciding{};  // spent in the module
+    Span deciding{}, longestDeciding{};  // spent in the module: in all, on one event at most
 };
 
 class Gateway {
--- a/src/gateway/service.cpp
+++ b/src/gateway/service.cpp
@@ -149,7 +149,8 @@
                 {"unrouted", c.unrouted},
                 {"connections", gateway->connections()},
                 {"decisions", c.decisions},
-                {"decidingMs", milliseconds(c.deciding)}};
+                {"decidingMs", milliseconds(c.deciding)},
+                {"longestDecidingMs", milliseconds(c.longestDeciding)}};
     }
 
     static void answer(http::Exchange &to, int status, const json &body) {
