Load bench: a caller is free only once its next call is chosen

Cause: a caller could be given two calls at once, which lost both and stood in the half-load figures.

--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -98,13 +98,12 @@
     }
     void over(Caller &c) {
         const Span now = clock.now();
-        c.busy = false;
         if (now >= from) ++done, bad += !c.good, tookMs.push_back(milliseconds(now - c.due));
         if (now >= until) return io.stop();
         // On a turn of its own: the connection is still in its call back.
         asio::post(io, [this, &c] {
             if (rate == 0) return call(c, clock.now());
-            if (waiting.empty()) return;
+            if (waiting.empty()) return void(c.busy = false);
             const Span due = waiting.front();
             waiting.pop_front();
             call(c, due);
