--- a/tests/path/gateway_test.cpp
+++ b/tests/path/gateway_test.cpp
@@ -384,6 +384,34 @@
     EXPECT_TRUE(until([&] { return instances[0].open == 0; })) << "idle connections to it are closed";
 }
 
+TEST_F(Path, ADrainBetweenChoiceAndConnectIsKept) {
+    // The two choices are asked for their load and never answer; both drain meanwhile.
+    const auto probed = [](const ScriptedInstance &i) {
+        return !i.reqs.empty() && says(i.reqs[0], "GET /probe");
+    };
+    for (int k = 0; k < 3; ++k)
+        instance([](auto, const std::string &req) { return says(req, "GET /probe") ? Reply{} : ok(); });
+    document["gateway"]["count"] = 20;
+    document["allowed"] = {{"inHandField", 1}};
+    start();
+    clock.held = clock.now();  // the module waits for the probes until the drains are told
+    auto &c = client();
+    c.send("POST /once HTTP/1.1\r\nHost: r\r\n\r\n");
+    ASSERT_TRUE(until([&] {
+        if (std::ranges::count_if(instances, probed) < 2) return false;
+        for (const auto &i : instances)
+            if (probed(i)) desk.list(i.id(), 1, Readiness::draining);
+        return true;
+    }));
+    ASSERT_TRUE(until([&] {
+        return std::ranges::count(gateway->listed(), Readiness::draining, &ListedServer::readiness) == 2;
+    }));
+    clock.held.reset();
+    ASSERT_TRUE(until([&] { return c.statuses().size() == 1; }));
+    EXPECT_EQ(c.statuses(), std::vector<int>{200});
+    for (const auto &i : instances) EXPECT_EQ(i.reqs.size(), 1u) << "probed, or sent the req: never both";
+}
+
 TEST_F(Path, AReqInHandWhileItsInstanceDrainsIsFinished) {
     instance([](auto, auto &) { return Reply{}; });
     start();
