--- a/Makefile
+++ b/Makefile
@@ -3,15 +3,16 @@
 BUILD ?= build-make
 DAY ?= days/bad-build-and-crash.json
 
-.PHONY: rehearse test program
+.PHONY: rehearse test setup
 
-program:
+setup:
 	deploy/install-packages
 	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release
-	cmake --build $(BUILD)
 
-rehearse: program
+rehearse: setup
+	cmake --build $(BUILD) --target deckcart_program
 	$(BUILD)/src/deckcart rehearse $(DAY)
 
-test: program
+test: setup
+	cmake --build $(BUILD)
 	ctest --test-dir $(BUILD) --output-on-failure -j4
