One place for a passed-on head, a req's timer, a listed entry and the auditor's news

Cause: the head of a passed-on answer, the req's timer and the entry of a listed server were each built in two places, and the auditor copied what it was told into a type of its own.

--- a/src/gateway/desk_client.cpp
+++ b/src/gateway/desk_client.cpp
@@ -82,6 +82,10 @@
     return s;
 }
 
+ServerEntry entryOf(const ListedServer &s, const GatewayOrders &orders) {
+    return {s.id, orders.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
+}
+
 json toJson(const ToldStage &s) {
     return {{"build", s.build},
             {"step", s.step},
@@ -192,7 +196,7 @@
     if (starts.size() > kStartsKept) starts.clear();
     for (const auto &entry : entries) {
         const ListedServer s = readListed(entry);
-        ServerEntry e{s.id, orders.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
+        ServerEntry e = entryOf(s, orders);
         if (s.age) e.startedAt = starts.try_emplace({s.id, s.incarnation}, now() - *s.age).first->second;
         list.entries.push_back(std::move(e));
     }
--- a/src/gateway/desk_client.hpp
+++ b/src/gateway/desk_client.hpp
@@ -25,6 +25,8 @@
 };
 nlohmann::json toJson(const ListedServer &server);
 ListedServer readListed(const nlohmann::json &from);
+// As the module takes it, but for when it started: that is on the reader's clock.
+ServerEntry entryOf(const ListedServer &server, const GatewayOrders &orders);
 
 struct ToldStage {
     BuildNo build = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -181,7 +181,7 @@
 void Gateway::remember(const std::vector<ListedServer> &saved) {
     ListTold known{true, {}};
     for (const auto &s : saved) {
-        ServerEntry e{s.id, given.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
+        ServerEntry e = entryOf(s, given);
         if (s.age) e.startedAt = turn() - *s.age;
         known.entries.push_back(std::move(e));
     }
@@ -371,7 +371,11 @@
     Span end = rq.told;
     for (const Try &t : rq.tries)
         if (!t.over) end = std::min(end, t.end);
-    rq.timer.expires_after(std::max(Span{0}, end - lastSeen));
+    wakeIn(rq, end - lastSeen);
+}
+
+void Gateway::wakeIn(Req &rq, Span after) {
+    rq.timer.expires_after(std::max(Span{0}, after));
     rq.timer.async_wait([this, id = rq.id, here = std::weak_ptr(alive)](asio::error_code fault) {
         if (fault || here.expired()) return;
         later([this, id] { deadline(id); });
@@ -390,13 +394,8 @@
         }
     if (rq.answered || rq.streaming >= 0) return;
     if (at < rq.told) return watchDeadline(rq);
-    if (at < rq.told + given.answerMargin / 2) {  // the module's own turn to answer
-        rq.timer.expires_after(rq.told + given.answerMargin / 2 - at);
-        rq.timer.async_wait([this, id, here = std::weak_ptr(alive)](asio::error_code fault) {
-            if (!fault && !here.expired()) later([this, id] { deadline(id); });
-        });
-        return;
-    }
+    // The module's own turn to answer comes first.
+    if (at < rq.told + given.answerMargin / 2) return wakeIn(rq, rq.told + given.answerMargin / 2 - at);
     // Guards the client against a module that holds a req too long: it never should.
     ++counted.overdue;
     finish(rq, "errored", 504, Span{0});
@@ -618,6 +617,15 @@
     if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
 }
 
+// The head of an instance's answer as the client gets it.
+http::AnswerHead Gateway::passedHead(const Try &t) {
+    http::AnswerHead head = t.head;
+    std::erase_if(head.headers, [&](const http::Header &h) { return !http::travels(t.head, h.first); });
+    head.headers.push_back({kEndHeader, "completed"});
+    head.headers.push_back({kBuildHeader, std::to_string(t.build)});
+    return head;
+}
+
 // A part of an answer: held back while it is short enough to be passed on whole, else streamed as it comes.
 void Gateway::pass(Req &rq, int tryNo, std::string_view part) {
     turn();
@@ -633,11 +641,8 @@
         }
         rq.streaming = tryNo, t.streaming = true;
         rq.timer.cancel();
-        http::AnswerHead head = t.head;
-        std::erase_if(head.headers, [&](const http::Header &h) { return !http::travels(t.head, h.first); });
+        http::AnswerHead head = passedHead(t);
         head.chunked = !head.length;
-        head.headers.push_back({kEndHeader, "completed"});
-        head.headers.push_back({kBuildHeader, std::to_string(t.build)});
         const ReqId id = rq.id;
         rq.exchange->onDrained = [this, id, tryNo] {
             const auto it = reqs.find(id);
@@ -662,11 +667,7 @@
     if (first) {
         if (rq.streaming == tryNo) rq.exchange->end();
         else {
-            http::AnswerHead head = t.head;
-            std::erase_if(head.headers,
-                          [&](const http::Header &h) { return !http::travels(t.head, h.first); });
-            head.headers.push_back({kEndHeader, "completed"});
-            head.headers.push_back({kBuildHeader, std::to_string(t.build)});
+            http::AnswerHead head = passedHead(t);
             if (rq.exchange->head.method == "HEAD" && t.head.length) {
                 const auto stated = t.head.length;
                 head.length = stated;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -76,6 +76,8 @@
     void take(std::shared_ptr<http::Exchange> exchange, std::size_t rule, Span came, Span clientEnd);
     void clientGone(ReqId id);
     void watchDeadline(Req &rq);
+    void wakeIn(Req &rq, Span after);
+    static http::AnswerHead passedHead(const Try &t);
     void deadline(ReqId id);
     void happened(Event event, InstanceId record);
     void happened(Event event);  // to every record
--- a/src/rehearsal/audit.cpp
+++ b/src/rehearsal/audit.cpp
@@ -154,25 +154,18 @@
         }
     }
 
-    struct Known {
-        BuildNo build = 0;
-        int step = 0;
-        Phase phase = Phase::released;
-        double cap = 1;
-        Span at{};
-    };
-    bool onTrial(const Known *k, BuildNo build) const {
+    bool onTrial(const ToldRelease *k, BuildNo build) const {
         if (!k) return build > f.firstBuild;
         return build > k->build || (build == k->build && k->phase != Phase::released);
     }
-    double cap(const Known *k, BuildNo build) const {
+    double cap(const ToldRelease *k, BuildNo build) const {
         if (!onTrial(k, build)) return 1e9;
         return k && k->build == build ? k->cap : f.firstCap;
     }
 
     void exposure() {
-        std::map<int, std::vector<Known>> news;
-        for (const auto &t : r.releases) news[t.gateway].push_back({t.build, t.step, t.phase, t.cap, t.at});
+        std::map<int, std::vector<ToldRelease>> news;
+        for (const auto &t : r.releases) news[t.gateway].push_back(t);
         struct Sent {
             Span at;
             const InstanceRecord *t;
@@ -199,8 +192,8 @@
             for (std::size_t k = 0; k < list.size(); ++k) {
                 const Span now = list[k].at;
                 // The loosest of what it may go by: what it knew a grace ago, and all that it was told since.
-                const Known *before = nullptr;
-                std::vector<const Known *> valid;
+                const ToldRelease *before = nullptr;
+                std::vector<const ToldRelease *> valid;
                 for (const auto &n : told) {
                     if (n.at <= now - f.drainGrace - f.slack) before = &n;
                     else if (n.at <= now) valid.push_back(&n);
@@ -221,7 +214,7 @@
                 // Counted afresh from where a lower cap came to bind, or the build was not on trial before.
                 Span from = now - f.exposureSpan;
                 for (std::size_t n = 0; n < told.size(); ++n) {
-                    const Known *prior = n ? &told[n - 1] : nullptr;
+                    const ToldRelease *prior = n ? &told[n - 1] : nullptr;
                     if (told[n].at <= now && cap(&told[n], build) < cap(prior, build))
                         from = std::max(from, told[n].at + f.drainGrace);
                 }
