--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <random>
 
 #include "../src/base/address.hpp"
@@ -80,8 +81,17 @@
     double rate = 0;  // 0: closed loop
     Span until{}, from{}, nextAt{};
     std::deque<Caller> callers;
-    std::deque<Span> waiting;  // due, no caller free
+    std::deque<Span> waiting;   // due, no caller free
+    double episodesOverMs = 0;  // 0: not told
     std::vector<double> tookMs;
+    // What happened within each 10 ms, so that an episode can be told from single slow reqs: worst latency,
+    // how late the tool's own timer came, how many due reqs found no free caller.
+    struct Stretch {
+        double worstMs = 0, lateMs = 0;
+        std::uint64_t due = 0, done = 0, waiting = 0, bad = 0;
+    };
+    std::map<long, Stretch> stretches;
+    Stretch &stretch() { return stretches[long((clock.now() - from).count() / 10000)]; }
     std::uint64_t done = 0, bad = 0, named = 0;
     std::mt19937_64 chance{1};
     asio::steady_timer timer{io};
@@ -99,6 +109,8 @@
     void over(Caller &c) {
         const Span now = clock.now();
         if (now >= from) ++done, bad += !c.good, tookMs.push_back(milliseconds(now - c.due));
+        auto &here = stretch();
+        here.worstMs = std::max(here.worstMs, milliseconds(now - c.due)), ++here.done, here.bad += !c.good;
         if (now >= until) return io.stop();
         // On a turn of its own: the connection is still in its call back.
         asio::post(io, [this, &c] {
@@ -111,10 +123,13 @@
     }
     void schedule() {
         const Span now = clock.now();
+        auto &here = stretch();
+        here.lateMs = std::max(here.lateMs, milliseconds(now - nextAt));
         while (nextAt <= now) {
+            ++here.due;
             const auto free = std::ranges::find(callers, false, &Caller::busy);
             if (free != callers.end()) call(*free, nextAt);
-            else waiting.push_back(nextAt);
+            else waiting.push_back(nextAt), ++here.waiting;
             nextAt += Span{std::max<long>(
                 1, std::lround(-std::log(1 - std::generate_canonical<double, 32>(chance)) / rate * 1e6))};
         }
@@ -136,6 +151,18 @@
                        ? 0
                        : tookMs[std::min(tookMs.size() - 1, std::size_t(q * double(tookMs.size())))];
         };
+        if (episodesOverMs > 0)
+            for (const auto &[index, s] : stretches)
+                if (s.worstMs > episodesOverMs || s.bad)
+                    std::cout << json{{"atS", double((from + index * Span{10000}).count()) / 1e6},
+                                      {"worstMs", s.worstMs},
+                                      {"toolLateMs", s.lateMs},
+                                      {"due", s.due},
+                                      {"done", s.done},
+                                      {"waiting", s.waiting},
+                                      {"bad", s.bad}}
+                                     .dump()
+                              << '\n';
         std::cout << json{{"perS", double(done) / seconds},
                           {"bad", bad},
                           {"p50ms", at(0.5)},
@@ -166,9 +193,11 @@
     load->add_option("--connections", connections);
     load->add_option("--seconds", seconds);
     load->add_option("--rate", rate);
+    double episodesOverMs = 0;
+    load->add_option("--episodes-over-ms", episodesOverMs, "tell each 10 ms with a slower req");
     CLI11_PARSE(app, argc, argv);
     if (instance->parsed()) return serve(count);
     Load l;
-    l.to = *parseAddress(to), l.rate = rate;
+    l.to = *parseAddress(to), l.rate = rate, l.episodesOverMs = episodesOverMs;
     return l.run(connections, seconds);
 }
