SRV records and node lists as sources: resolver, merge, settings, thin path

Another installation lists its relay nodes in DNS SRV records. The gateway now follows SRV names by a resolver of its own (src/dns: messages by ldns, pure lookup, asking and refresh) and merges them with the desk's list and a fixed one (src/membership, pure); the set and its reasons are at GET /v1/members.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -153,9 +153,15 @@
         context, given, [this] { return turn(); },
         [this](Event event) {
             ++socketEvents;
-            later([this, event = std::move(event)] { happened(event); });
+            later([this, event = std::move(event)] {
+                const auto *toldNow = std::get_if<ListTold>(&event);
+                if (toldNow && feed) return feed->deskTold(*toldNow);
+                if (std::holds_alternative<ListFailed>(event) && feed) feed->deskFailed();
+                happened(event);
+            });
         });
     startModule();
+    startFeed({});
     listenToPeers();
     sweep();
 }
@@ -188,6 +194,22 @@
     happened(known);
 }
 
+void Gateway::remember(const std::vector<membership::SavedSource> &saved) { startFeed(saved); }
+
+void Gateway::startFeed(const std::vector<membership::SavedSource> &saved) {
+    const auto before = std::move(feed);
+    if (!given.sources) return;
+    feed = std::make_unique<MemberFeed>(
+        context, clock, given, chance(), log, [this] { return turn(); },
+        [this, here = std::weak_ptr(alive)](Event event) {
+            if (!here.expired()) later([this, event = std::move(event)] { happened(event); });
+        },
+        saved, saved.empty() ? before.get() : nullptr);
+    feed->onRead = [this] {
+        if (onListed) onListed();
+    };
+}
+
 bool Gateway::mayRestartModule() const {
     std::set<BuildNo> builds;
     for (const auto &[id, e] : list)
@@ -195,7 +217,7 @@
     return builds.size() <= 1 && (!told || told->phase != Phase::onTrial);
 }
 
-void Gateway::apply(GatewayOrders orders, bool newModule) {
+void Gateway::apply(GatewayOrders orders, bool newModule, bool sourcesMoved) {
     const bool deskMoved = orders.desk.has_value() != given.desk.has_value() ||
                            (orders.desk && orders.desk->address != given.desk->address);
     // A req in hand keeps its rule's number: rules only change with the module, which then starts anew.
@@ -213,7 +235,8 @@
                 current);
         if (records[before] == 0) records.erase(before), happened(Stopped{}, before);
     }
-    if (deskMoved) desk->follow(true);
+    if (sourcesMoved) startFeed({});
+    if (deskMoved || (sourcesMoved && !feed)) desk->follow(true);
     listenToPeers();
 }
 
@@ -527,9 +550,14 @@
             [&](const CloseIdle &a) { pool.closeIdle(a.server); },
             [&](const TellPeers &a) { tellPeers(a); },
             [&](const FollowList &a) {
-                if (record == current) desk->follow(a.active);
+                if (record != current) return;
+                desk->follow(a.active);
+                if (feed && a.active) feed->tellAgain();
+            },
+            [&](const FetchList &) {
+                desk->fetchOnce();
+                if (feed) feed->tellAgain();
             },
-            [&](const FetchList &) { desk->fetchOnce(); },
             [&](const Vote &a) {
                 if (record != current) return;  // one vote a gateway
                 log.info("vote", {{"build", a.build}, {"step", a.step}, {"verdict", nameOf(a.verdict)}});
@@ -765,7 +793,13 @@
 }
 
 void Gateway::note(const ListTold &told_) {
-    if (told_.complete) list.clear();
+    if (told_.complete) {
+        std::set<ServerId> still;
+        for (const auto &e : told_.entries) still.insert(e.id);
+        for (const auto &[id, e] : list)
+            if (!still.contains(id)) pool.closeIdle(id);
+        list.clear();
+    }
     for (const auto &e : told_.entries) {
         if (e.readiness == Readiness::gone) list.erase(e.id);
         else list[e.id] = e;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -14,6 +14,7 @@
 #include "../http/server.hpp"
 #include "../settings/orders.hpp"
 #include "desk_client.hpp"
+#include "member_feed.hpp"
 #include "pool.hpp"
 
 namespace deckcart {
@@ -42,9 +43,11 @@
 
     // The list of before, told to the module as its last known one. Call it before the first req.
     void remember(const std::vector<ListedServer> &saved);
+    // The same where the list has sources of its own; read with readSaved() on this gateway's clock.
+    void remember(const std::vector<membership::SavedSource> &saved);
     // Takes new orders while reqs go on. A new start of the module (newModule) takes the reqs that come from
     // now on; those in hand end under the old one. Only where one build is listed: see mayRestartModule().
-    void apply(GatewayOrders orders, bool newModule);
+    void apply(GatewayOrders orders, bool newModule, bool sourcesMoved = false);
     // A module that starts anew knows no key that stays and no tries of the exposure span.
     bool mayRestartModule() const;
     // Refuses new reqs, finishes those in hand, then calls back.
@@ -59,7 +62,8 @@
     const GatewayOrders &orders() const { return given; }
     std::vector<ListedServer> listed() const;
     std::optional<ToldStage> stage() const { return told; }
-    std::function<void()> onListed;  // the list has changed
+    std::function<void()> onListed;               // the list, or what a source says, has changed
+    MemberFeed *members() { return feed.get(); }  // none: the desk's list is taken as it is
 
   private:
     struct Try;
@@ -95,6 +99,7 @@
     void sweep();
     void note(const ListTold &list);
     void startModule();
+    void startFeed(const std::vector<membership::SavedSource> &saved);
     void logReq(const Req &rq, const char *end, int status);
 
     asio::io_context &context;
@@ -125,6 +130,7 @@
     std::optional<ToldStage> told;
     Pool pool;
     std::unique_ptr<DeskClient> desk;
+    std::unique_ptr<MemberFeed> feed;
     std::vector<std::shared_ptr<http::Fetch>> probes;
 
     struct Passed {
--- a/src/gateway/service.cpp
+++ b/src/gateway/service.cpp
@@ -11,7 +11,7 @@
 
 using nlohmann::json;
 
-constexpr int kSettingsFormat = 1, kListFormat = 1;
+constexpr int kSettingsFormat = 1, kListFormat = 1, kSourcesFormat = 1;
 constexpr auto kListSavedEvery = std::chrono::seconds(1);
 constexpr std::size_t kMostDocument = 4 * 1024 * 1024;  // settings of the largest site are a tenth of it
 
@@ -78,6 +78,7 @@
     }
 
     void recall() {
+        if (auto *feed = gateway->members()) return recallSources(feed->now());
         const auto saved = read("list.json", kListFormat);
         if (!saved) return;
         try {
@@ -96,6 +97,19 @@
         }
     }
 
+    void recallSources(Span now) {
+        const auto saved = read("sources.json", kSourcesFormat);
+        if (!saved) return;
+        try {
+            const auto since = std::max<std::int64_t>(0, wallMs() - saved->at("savedMs").get<std::int64_t>());
+            const auto sources = readSaved(saved->at("sources"), now, std::chrono::milliseconds(since));
+            gateway->remember(sources);
+            log.info("recalled", {{"sources", sources.size()}, {"sinceMs", since}});
+        } catch (const std::exception &fault) {
+            log.warn("set-aside", {{"fault", std::string("sources.json: ") + fault.what()}});
+        }
+    }
+
     void saveSoon() {
         if (start.state.empty()) return;
         saver.expires_after(kListSavedEvery);
@@ -107,10 +121,19 @@
     }
     void saveList() {
         if (start.state.empty() || !listChanged) return;
-        json instances = json::array();
-        for (const auto &one : gateway->listed()) instances.push_back(toJson(one));
-        const json whole{{"format", kListFormat}, {"savedMs", wallMs()}, {"instances", std::move(instances)}};
-        const auto fault = writeWhole(start.state / "list.json", whole.dump() + "\n", Durable::atLeisure);
+        std::string fault;
+        if (auto *feed = gateway->members()) {
+            const json whole{{"format", kSourcesFormat},
+                             {"savedMs", wallMs()},
+                             {"sources", toJson(feed->saved(), feed->now())}};
+            fault = writeWhole(start.state / "sources.json", whole.dump() + "\n", Durable::atLeisure);
+        } else {
+            json instances = json::array();
+            for (const auto &one : gateway->listed()) instances.push_back(toJson(one));
+            const json whole{
+                {"format", kListFormat}, {"savedMs", wallMs()}, {"instances", std::move(instances)}};
+            fault = writeWhole(start.state / "list.json", whole.dump() + "\n", Durable::atLeisure);
+        }
         if (fault.empty()) listChanged = false;  // else tried again
         if (fault != saveFault && !fault.empty()) log.warn("save", {{"fault", fault}});
         saveFault = fault;
@@ -184,9 +207,15 @@
             if (only("GET")) answer(call, 200, counts());
         } else if (path == "/v1/members") {
             if (!only("GET")) return;
-            json instances = json::array();
-            for (const auto &one : gateway->listed()) instances.push_back(toJson(one));
-            json body{{"instances", std::move(instances)}};
+            json body{{"instances", json::array()}};
+            if (auto *feed = gateway->members()) {
+                body = toJson(feed->view(), feed->sources(), gateway->orders().zones, feed->now());
+                const auto asked = feed->asked();
+                body["questions"] = {{"asked", asked.questions}, {"overUdp", asked.udp},
+                                     {"overTcp", asked.tcp},     {"answered", asked.answers},
+                                     {"failed", asked.failures}, {"dropped", asked.dropped}};
+            } else
+                for (const auto &one : gateway->listed()) body["instances"].push_back(toJson(one));
             if (const auto stage = gateway->stage()) body["stage"] = toJson(*stage);
             answer(call, 200, body);
         } else if (path == "/v1/wrong-answers") {
@@ -223,8 +252,12 @@
                 return problem(call, 500, "not kept, so nothing has changed: " + fault);
             }
         }
+        // Zones too: entries of the sources name them by number.
+        const bool sourcesMoved = document.value("sources", json{}) != said.value("sources", json{}) ||
+                                  document.value("zones", json{}) != said.value("zones", json{}) ||
+                                  document.contains("desk") != said.contains("desk");
         document = std::move(said);
-        gateway->apply(std::move(*read.orders), newModule);
+        gateway->apply(std::move(*read.orders), newModule, sourcesMoved);
         log.info("settings", {{"newModule", newModule}});
         answer(call, 200, document);
     }
--- /dev/null
+++ b/src/membership/merge.hpp
@@ -0,0 +1,155 @@
+// What the sources of the list of instances last said, turned into the one set that is routed to, with a
+// reason for each entry. The rule is the table in docs/design-membership.md. Pure: no I/O, no clock, no
+// chance. It decides neither health nor routing: that is the decision module's.
+#pragma once
+
+#include <deckcart/policy.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace deckcart::membership {
+
+enum class SourceKind { desk, nodes, srv };
+const char *nameOf(SourceKind kind);
+
+struct SourceRule {
+    std::string name;
+    SourceKind kind = SourceKind::desk;
+};
+
+struct MergeRules {
+    std::vector<SourceRule> sources;  // the first has precedence
+    Span longestStale{};              // beyond the end of a reading's lifetime; then its source has failed
+    double confirmShare = 0.3;        // 0 to 1: a loss of more than this part of what a source listed is held
+    Span confirmAfter{};              // a held loss told again so much later is believed
+    Span grace{};                     // what leaves the set is draining for so long, then gone
+    // Of each build: the next class of priority opens while fewer live instances than reserveBelow are in the
+    // open ones, and closes once those before it have reserveUntil. 1 <= reserveBelow <= reserveUntil.
+    int reserveBelow = 1, reserveUntil = 2;
+};
+
+constexpr int kNoClass = -1;
+
+struct Claim {
+    ServerEntry entry;
+    // Lower ones come first. kNoClass: its source knows no classes; it is in the first one, whichever that
+    // is.
+    int priority = -1;
+    std::string as;  // what it stands as in its source: HOST:PORT of the target
+};
+
+// All that a source lists at one time.
+struct Reading {
+    Span at{}, lifetime{};
+    std::string from;  // who told: one name server or another
+    std::vector<Claim> claims;
+    bool certain = false;           // set by hand: a loss needs no confirmation
+    std::set<std::string> unknown;  // of `as`: nothing was learned of these, they stand as they were
+};
+
+enum class SourceState { never, fresh, stale, failed };
+const char *nameOf(SourceState state);
+
+struct SourceView {
+    SourceState state = SourceState::never;
+    Span age{};                        // since its last reading
+    Span lifetimeLeft{};               // zero: over
+    std::size_t listed = 0, held = 0;  // losses that wait for confirmation
+    std::string from, fault;
+};
+
+struct Member {
+    ServerEntry entry;
+    int priority = kNoClass;
+    bool inSet = true;  // false: only shown
+    std::string reason;
+    std::vector<std::string> sources;  // that list it, by precedence
+    Span age{}, lifetimeLeft{};        // of the source that decides
+    SourceState state = SourceState::never;
+};
+
+struct View {
+    std::vector<Member> members;  // by id
+    std::vector<SourceView> sources;
+    std::vector<std::pair<std::size_t, Span>> confirm;  // sources to be asked again, and when (a time)
+    std::optional<Span> changesAt;                      // look again then, though nothing is told
+};
+
+// What has to outlive the process. Times are spans since the clock's start, as everywhere.
+struct SavedSource {
+    std::string name, from;
+    Span at{}, lifetime{};
+    std::vector<std::pair<Claim, Span>> listed;  // and since when it is, live, without a break
+    std::map<ServerId, std::pair<Readiness, Span>> stops;
+    std::map<ServerId, Span> withdrawn;
+};
+
+class Merge {
+  public:
+    explicit Merge(MergeRules rules);
+
+    // Times don't go back within a source: a reading older than the last one is passed over.
+    void took(std::size_t source, Reading reading);
+    // Changes to what the source listed; those said gone leave its list.
+    void tookChanges(std::size_t source, Span at, const std::vector<Claim> &claims);
+    // It can't be read: its last reading is stale from now on at the latest.
+    void lost(std::size_t source, Span at, const std::string &why);
+    void failedOnce(std::size_t source, const std::string &why);  // one try of many; the reading lives on
+
+    // The set at a time not before any told so far.
+    View at(Span now);
+
+    std::vector<SavedSource> saved() const;
+    // Of a process before this one; before anything is told. Sources are found by name.
+    void recall(const std::vector<SavedSource> &saved);
+    // All that a merge under other rules knows, on the same clock; its sources by name.
+    void adopt(const Merge &before);
+
+  private:
+    struct Held {
+        Claim claim;
+        Span since{};  // listed live without a break since then
+    };
+    struct Stop {
+        Readiness readiness = Readiness::draining;
+        Span since{};
+    };
+    struct Source {
+        bool read = false;
+        Span at{}, freshUntil{};
+        std::string from, fault;
+        std::map<ServerId, Held> listed;
+        std::map<ServerId, Stop> stops;      // told to stop: draining or gone
+        std::map<ServerId, Span> withdrawn;  // listed once, not any more
+        std::map<ServerId, Span> held;       // missing, waiting for confirmation since then
+    };
+    struct Place {
+        ServerEntry entry;
+        int priority = kNoClass;
+        std::optional<Span> leaving;
+    };
+    // What the sources together say of one instance.
+    struct Said {
+        Readiness readiness = Readiness::live;
+        bool listed = false;           // by the one that decides
+        const Held *fields = nullptr;  // of the first that lists it
+        std::size_t decider = 0;
+        std::string reason;
+    };
+    SourceState stateOf(const Source &s, Span now) const;
+    Span failsAt(const Source &s) const;
+    void claim(Source &s, Span at, const Claim &c, bool first);
+    void withdraw(Source &s, const ServerId &id, Span at);
+    Said say(const ServerId &id, const std::vector<std::size_t> &ranks, std::size_t counted) const;
+    void forget();
+
+    MergeRules rules;
+    std::vector<Source> sources;
+    std::map<ServerId, Place> set;
+    std::map<BuildNo, int> open;  // the last class of priority that is open
+};
+
+}  // namespace deckcart::membership
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -196,6 +196,93 @@
             refuse("/release/votesToGoBack", "is over /gateway/count: a bad build could never be sent back");
     }
 
+    int zone(const json &from, const std::string &at) {
+        const auto it = from.find("zone");
+        if (it == from.end()) return 0;
+        if (std::ranges::find(out.zones, it->get<std::string>()) == out.zones.end())
+            refuse(at + "/zone", "is not one of /zones");
+        return out.zoneNo(it->get<std::string>());
+    }
+
+    void sources() {
+        const auto it = doc.find("sources");
+        if (it == doc.end()) return;
+        const json &from = *it;
+        SourceOrders orders;
+        auto &merge = orders.merge;
+        merge.longestStale = std::chrono::hours(1), merge.confirmAfter = std::chrono::seconds(5);
+        merge.grace = std::chrono::seconds(30);
+        take(from, "longestStalenessMs", merge.longestStale), take(from, "confirmShare", merge.confirmShare);
+        take(from, "confirmAfterMs", merge.confirmAfter), take(from, "graceMs", merge.grace);
+        take(from, "reserveBelow", merge.reserveBelow);
+        merge.reserveUntil = std::max(merge.reserveUntil, merge.reserveBelow);
+        take(from, "reserveUntil", merge.reserveUntil);
+        if (merge.reserveUntil < merge.reserveBelow)
+            refuse("/sources/reserveUntil",
+                   "is below /sources/reserveBelow: a class would open and close for ever");
+        bool deskList = doc.contains("desk");
+        take(from, "deskList", deskList);
+        if (deskList && !doc.contains("desk")) refuse("/sources/deskList", "is set, but there is no /desk");
+        const json nodes = from.value("nodes", json::array());
+        for (std::size_t k = 0; k < nodes.size(); ++k) {
+            const std::string at = "/sources/nodes/" + std::to_string(k);
+            membership::Claim c;
+            if (const auto to = address(nodes[k], "address", at + "/address")) c.entry.id = format(*to);
+            take(nodes[k], "build", c.entry.build), take(nodes[k], "cell", c.entry.cell);
+            take(nodes[k], "weight", c.entry.weight);
+            c.entry.zone = zone(nodes[k], at), c.as = c.entry.id;
+            for (const auto &other : orders.nodes)
+                if (other.entry.id == c.entry.id) refuse(at + "/address", "stands twice");
+            orders.nodes.push_back(std::move(c));
+        }
+        if (const auto srv = from.find("srv"); srv != from.end()) {
+            const auto &names = srv->at("names");
+            for (std::size_t k = 0; k < names.size(); ++k) {
+                const std::string at = "/sources/srv/names/" + std::to_string(k);
+                membership::SrvName name;
+                name.name = dns::canonicalName(names[k].at("name").get<std::string>());
+                if (name.name.empty()) refuse(at + "/name", "is no DNS name");
+                take(names[k], "build", name.build), take(names[k], "cell", name.cell);
+                name.zone = zone(names[k], at);
+                for (const auto &other : orders.names)
+                    if (other.name == name.name) refuse(at + "/name", "stands twice");
+                orders.names.push_back(std::move(name));
+            }
+            const auto &servers = srv->at("servers");
+            auto &r = orders.resolver;
+            for (std::size_t k = 0; k < servers.size(); ++k) {
+                const auto text = servers[k].get<std::string>();
+                const auto to = parseAddress(text);
+                if (!to || to->port() == 0)
+                    refuse("/sources/srv/servers/" + std::to_string(k),
+                           "'" + text + "' is not HOST:PORT with a numeric host and a port");
+                else r.servers.emplace_back(to->address(), to->port());
+            }
+            take(*srv, "lifetimeFloorMs", r.refresh.floor),
+                take(*srv, "lifetimeCeilingMs", r.refresh.ceiling);
+            take(*srv, "negativeCeilingMs", r.refresh.negativeCeiling);
+            take(*srv, "questionsASecond", r.questionsASecond), take(*srv, "questionsInFlight", r.inFlight);
+            if (r.refresh.floor > r.refresh.ceiling)
+                refuse("/sources/srv/lifetimeFloorMs", "is over /sources/srv/lifetimeCeilingMs");
+        }
+        // As asked for; kinds that are not named come behind, in the order desk, nodes, srv.
+        std::vector<std::string> kinds = from.value("precedence", std::vector<std::string>{});
+        if (std::set<std::string>(kinds.begin(), kinds.end()).size() != kinds.size())
+            refuse("/sources/precedence", "a kind stands twice");
+        for (const char *kind : {"desk", "nodes", "srv"})
+            if (std::ranges::find(kinds, kind) == kinds.end()) kinds.emplace_back(kind);
+        using membership::SourceKind;
+        for (const auto &kind : kinds) {
+            if (kind == "desk" && deskList) merge.sources.push_back({"desk", SourceKind::desk});
+            if (kind == "nodes" && !orders.nodes.empty())
+                merge.sources.push_back({"nodes", SourceKind::nodes});
+            if (kind == "srv")
+                for (const auto &name : orders.names) merge.sources.push_back({name.name, SourceKind::srv});
+        }
+        if (merge.sources.empty()) refuse("/sources", "names no source: no instance could ever be listed");
+        out.sources = std::move(orders);
+    }
+
     void outside() {
         if (const auto desk = doc.find("desk"); desk != doc.end()) {
             const auto at = address(*desk, "address", "/desk/address");
@@ -240,6 +327,7 @@
     reader.allowed();
     reader.release();
     reader.outside();
+    reader.sources();
     read.refused = std::move(reader.refused);
     if (read.refused.empty()) read.orders = std::move(reader.out);
     return read;
--- a/src/settings/orders.hpp
+++ b/src/settings/orders.hpp
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "../base/schema.hpp"
+#include "../dns/resolver.hpp"
 #include "../http/server.hpp"
+#include "../membership/claims.hpp"
 
 namespace deckcart {
 
@@ -48,6 +50,14 @@
     asio::ip::tcp::endpoint address;  // of its datagrams
 };
 
+// Where the list of instances comes from. Without it, it is the desk's alone, as told.
+struct SourceOrders {
+    membership::MergeRules merge;
+    std::vector<membership::Claim> nodes;
+    std::vector<membership::SrvName> names;
+    dns::ResolverOrders resolver;
+};
+
 struct GatewayOrders {
     std::string id = "gateway";
     int index = 0;
@@ -62,6 +72,7 @@
         std::chrono::milliseconds(200);  // a turn of the loop later than that found a stopped clock
     UpstreamLimits upstream;
     std::optional<DeskCalls> desk;
+    std::optional<SourceOrders> sources;
     std::optional<asio::ip::tcp::endpoint> notes;  // where peers' datagrams are taken
     std::vector<Peer> peers;
     double reqSample = 0;  // part of the reqs that are logged
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -10,6 +10,7 @@
   "title": "Settings of a deckcart gateway; times in whole milliseconds",
   "definitions": {
     "ms": {"type": "integer", "minimum": 1, "maximum": 3600000},
+    "longMs": {"type": "integer", "minimum": 1, "maximum": 604800000},
     "count": {"type": "integer", "minimum": 1, "maximum": 1000000},
     "part": {"type": "number", "minimum": 0, "maximum": 1},
     "word": {"type": "string", "minLength": 1, "maxLength": 100},
@@ -28,6 +29,30 @@
       "address": {"$ref": "#/definitions/address"},
       "answerWithinMs": {"$ref": "#/definitions/ms"},
       "silentForMs": {"$ref": "#/definitions/ms"}}},
+    "sources": {"type": "object", "additionalProperties": false, "properties": {
+      "precedence": {"type": "array", "maxItems": 3, "items": {"enum": ["desk", "nodes", "srv"]}},
+      "deskList": {"type": "boolean"},
+      "nodes": {"type": "array", "maxItems": 4096, "items": {
+        "type": "object", "additionalProperties": false, "required": ["address", "build"], "properties": {
+          "address": {"$ref": "#/definitions/address"}, "build": {"type": "integer", "minimum": 0},
+          "zone": {"$ref": "#/definitions/word"}, "cell": {"type": "integer", "minimum": 0},
+          "weight": {"type": "number", "minimum": 0.001, "maximum": 1000}}}},
+      "srv": {"type": "object", "additionalProperties": false, "required": ["names", "servers"], "properties": {
+        "names": {"type": "array", "minItems": 1, "maxItems": 64, "items": {
+          "type": "object", "additionalProperties": false, "required": ["name", "build"], "properties": {
+            "name": {"type": "string", "minLength": 1, "maxLength": 254},
+            "build": {"type": "integer", "minimum": 0}, "zone": {"$ref": "#/definitions/word"},
+            "cell": {"type": "integer", "minimum": 0}}}},
+        "servers": {"type": "array", "minItems": 1, "maxItems": 8, "items": {"$ref": "#/definitions/address"}},
+        "lifetimeFloorMs": {"$ref": "#/definitions/longMs"}, "lifetimeCeilingMs": {"$ref": "#/definitions/longMs"},
+        "negativeCeilingMs": {"$ref": "#/definitions/longMs"},
+        "questionsASecond": {"type": "number", "minimum": 1, "maximum": 100000},
+        "questionsInFlight": {"type": "integer", "minimum": 1, "maximum": 1024}}},
+      "longestStalenessMs": {"$ref": "#/definitions/longMs"},
+      "confirmShare": {"$ref": "#/definitions/part"}, "confirmAfterMs": {"$ref": "#/definitions/longMs"},
+      "graceMs": {"$ref": "#/definitions/longMs"},
+      "reserveBelow": {"type": "integer", "minimum": 1, "maximum": 10000},
+      "reserveUntil": {"type": "integer", "minimum": 1, "maximum": 10000}}},
     "routes": {"type": "array", "minItems": 1, "maxItems": 64, "items": {
       "type": "object", "additionalProperties": false,
       "required": ["name", "pathPrefix", "effect", "latencyObjectiveMs", "routeTimeoutMs"], "properties": {
