--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -268,17 +268,14 @@
             if (place == set.end()) set[id] = {m.entry, m.priority, {}};
             else place->second = {m.entry, m.priority, {}};
         } else {
-            // Leaves: after the grace it is gone.
-            m.entry.readiness = Readiness::draining;
-            if (place == set.end())
-                m.entry.readiness = reserve ? Readiness::live : Readiness::gone, m.inSet = false;
-            else {
+            // Leaves, as it was: after the grace it is gone.
+            m.entry.readiness = reserve ? Readiness::live : Readiness::gone, m.inSet = false;
+            if (place != set.end()) {
                 const Span since = place->second.leaving.value_or(now);
-                if (now - since >= rules.grace) {
-                    m.entry.readiness = reserve ? Readiness::live : Readiness::gone, m.inSet = false;
-                    set.erase(place);
-                } else {
-                    place->second = {m.entry, m.priority, since};
+                if (now - since >= rules.grace) set.erase(place);
+                else {
+                    place->second.leaving = since, place->second.entry.readiness = Readiness::draining;
+                    m.entry = place->second.entry, m.priority = place->second.priority, m.inSet = true;
                     later(since + rules.grace);
                 }
             }
