--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -24,7 +24,10 @@
     {"burst", TroubleKind::burst},
     {"heedless", TroubleKind::heedless},
     {"low-reports", TroubleKind::lowReports},
-    {"probes-fail", TroubleKind::probesFail}};
+    {"probes-fail", TroubleKind::probesFail},
+    {"names-silent", TroubleKind::namesSilent},
+    {"names-lossy", TroubleKind::namesLossy},
+    {"names-contradict", TroubleKind::namesContradict}};
 
 const std::vector<std::pair<const char *, BadKind>> kBad = {
     {"fails", BadKind::fails}, {"slow", BadKind::slow},   {"busy", BadKind::busy},
@@ -72,6 +75,10 @@
       "zones": {"type": "array", "minItems": 1, "maxItems": 8, "items": {"$ref": "#/definitions/word"}},
       "coldFrom": {"type": "number", "exclusiveMinimum": 0, "maximum": 1}, "warmWithinMs": {"$ref": "#/definitions/ms"},
       "tipMultiple": {"type": "number", "minimum": 1, "maximum": 100}, "overloadForMs": {"$ref": "#/definitions/ms"}}},
+    "names": {"type": "object", "additionalProperties": false, "required": ["servers"], "properties": {
+      "servers": {"type": "integer", "minimum": 1, "maximum": 4},
+      "lifetimeMs": {"type": "integer", "minimum": 1000, "maximum": 60000},
+      "confirmAfterMs": {"$ref": "#/definitions/ms"}}},
     "traffic": {"type": "object", "additionalProperties": false, "required": ["reqsPerS", "routes"], "properties": {
       "reqsPerS": {"type": "number", "exclusiveMinimum": 0, "maximum": 5000},
       "keys": {"type": "integer", "minimum": 1, "maximum": 1000000},
@@ -144,6 +151,9 @@
     d.zones = in.value("zones", std::vector<std::string>{"a"});
     d.coldFrom = in.value("coldFrom", d.coldFrom), d.tipMultiple = in.value("tipMultiple", d.tipMultiple);
     d.warmWithin = ms(in, "warmWithinMs", 4000), d.overloadFor = ms(in, "overloadForMs", 2000);
+    const json &names = part(document, "names");
+    d.nameServers = names.value("servers", 0), d.recordLifetime = ms(names, "lifetimeMs", 1000);
+    d.confirmAfter = ms(names, "confirmAfterMs", 500);
     const json &t = document.at("traffic");
     d.reqsPerS = t.at("reqsPerS"), d.keys = t.value("keys", d.keys),
     d.retries = t.value("retries", d.retries);
@@ -206,6 +216,9 @@
         x.where = one.value("where", std::string("any"));
         x.times = one.value("times", 2.0), x.part = one.value("part", 0.5);
         x.votesCount = one.value("votesCount", false);
+        const bool ofNames = x.kind == TroubleKind::namesSilent || x.kind == TroubleKind::namesLossy ||
+                             x.kind == TroubleKind::namesContradict;
+        if (ofNames && d.nameServers == 0) refuse("/troubles/" + std::to_string(k) + "/kind", "needs /names");
         if (x.at + x.lasts > d.lasts) refuse("/troubles/" + std::to_string(k), "ends after the day");
         d.troubles.push_back(x);
     }
@@ -213,7 +226,12 @@
     return read;
 }
 
-json settingsOf(const Day &d, int gateway, const std::string &deskAddress) {
+std::string srvNameOf(BuildNo build, const std::string &zone) {
+    return "_relay._tcp.b" + std::to_string(build) + "." + zone + ".example.org.";
+}
+
+json settingsOf(const Day &d, int gateway, const std::string &deskAddress,
+                const std::vector<std::string> &nameServers) {
     const auto inMs = [](Span s) { return s.count() / 1000; };
     json routes = json::array(), accounts = json::array();
     for (const auto &r : d.routes) {
@@ -259,6 +277,18 @@
              {"votesToGoBack", d.votesToGoBack},
              {"wrongReported", d.wrongReported}}}};
     if (!accounts.empty()) s["accounts"] = std::move(accounts);
+    if (!nameServers.empty()) {
+        json names = json::array();
+        for (const BuildNo build : {1, 2})
+            for (const auto &zone : d.zones)
+                names.push_back({{"name", srvNameOf(build, zone)}, {"build", build}, {"zone", zone}});
+        s["sources"] = {
+            {"deskList", false},
+            {"srv",
+             {{"names", names}, {"servers", nameServers}, {"lifetimeFloorMs", inMs(d.recordLifetime) / 2}}},
+            {"confirmAfterMs", inMs(d.confirmAfter)},
+            {"graceMs", inMs(d.drainGrace) + 1}};
+    }
     return s;
 }
 
--- a/src/rehearsal/day.hpp
+++ b/src/rehearsal/day.hpp
@@ -47,7 +47,10 @@
     burst,           // all clients ask for more
     heedless,        // one account's clients repeat at once, again and again
     lowReports,      // instances report too little load
-    probesFail       // instances answer probes with errors
+    probesFail,      // instances answer probes with errors
+    namesSilent,     // so many of each gateway's name servers answer nothing
+    namesLossy,      // so many of them lose that part of their answers
+    namesContradict  // the last one goes on with the records of that moment
 };
 
 struct Trouble {
@@ -73,6 +76,9 @@
     double reqsPerS = 100;
     int keys = 500, retries = 1;
     double leastPatience = 0.6;  // part of the route timeout that a client waits at least
+    // The fleet is told by SRV records of so many name servers; 0: by the desk's list.
+    int nameServers = 0;
+    Span recordLifetime{}, confirmAfter{};
     std::vector<std::string> accounts;
     std::vector<double> accountShares;
     std::vector<DayRoute> routes;
@@ -102,7 +108,10 @@
 };
 const nlohmann::json &daySchema();
 DayRead readDay(const nlohmann::json &document);
-// The settings document of one of its gateways.
-nlohmann::json settingsOf(const Day &day, int gateway, const std::string &deskAddress);
+// The settings document of one of its gateways; its name servers, where the day has some.
+nlohmann::json settingsOf(const Day &day, int gateway, const std::string &deskAddress,
+                          const std::vector<std::string> &nameServers = {});
+// The name of the SRV records of a build in a zone.
+std::string srvNameOf(BuildNo build, const std::string &zone);
 
 }  // namespace deckcart::rehearsal
--- a/src/rehearsal/rehearse.cpp
+++ b/src/rehearsal/rehearse.cpp
@@ -99,6 +99,11 @@
         const bool temporary = start.keep.empty();
         folder = temporary ? fs::temp_directory_path() / fmt::format("deckcart-rehearsal-{}", ::getpid())
                            : start.keep;
+        if (day.nameServers > 0) {
+            names = std::make_unique<standin::FleetNames>(context, day, clock, out.records,
+                                                          std::uint32_t(day.seed * 7 + 4));
+            desk.names = names.get();
+        }
         desk.start();
         for (std::size_t k = 0; k < processes.size(); ++k) {
             auto &p = processes[k];
@@ -156,7 +161,8 @@
             for (auto &p : processes) {
                 http::RequestHead head;
                 head.method = "PUT", head.target = "/v1/settings";
-                const json settings = settingsOf(day, p.no, desk.address());
+                const json settings = settingsOf(day, p.no, desk.address(),
+                                                 names ? names->addresses(p.no) : std::vector<std::string>{});
                 http::Fetch::start(context, *parseAddress(p.api), head, settings.dump(),
                                    std::chrono::seconds(10), [this](const http::Fetched &got) {
                                        if (!got.ok()) return stop("settings refused: " + got.body);
@@ -331,6 +337,24 @@
         case TroubleKind::probesFail:
             both([](I &i) { i.probesFail = true; }, [](I &i) { i.probesFail = false; });
             break;
+        case TroubleKind::namesSilent:
+        case TroubleKind::namesLossy:
+            for (std::size_t k = 0; k < std::size_t(t.count); ++k) {
+                standin::NameFaults faults;
+                faults.silent = t.kind == TroubleKind::namesSilent;
+                faults.lost = t.kind == TroubleKind::namesLossy ? t.part : 0;
+                names->misbehave(k, faults);
+            }
+            a.end = [this, count = std::size_t(t.count)] {
+                for (std::size_t k = 0; k < count; ++k) names->misbehave(k, {});
+            };
+            break;
+        case TroubleKind::namesContradict: {
+            const auto last = std::size_t(day.nameServers - 1);
+            names->freeze(last, true);
+            a.end = [this, last] { names->freeze(last, false); };
+            break;
+        }
         }
         active.push_back(std::move(a));
     }
@@ -444,6 +468,7 @@
     SteadyClock clock;
     Rehearsal out;
     standin::World world;
+    std::unique_ptr<standin::FleetNames> names;
     standin::Desk desk;
     std::mt19937_64 chance;
     asio::steady_timer looking;
--- a/src/standin/desk.cpp
+++ b/src/standin/desk.cpp
@@ -119,6 +119,10 @@
                 if (entry["readiness"] == "gone") published.erase(entry["id"].get<std::string>());
                 else published[entry["id"].get<std::string>()] = entry;
             }
+        if (event["kind"] == "instances" && names) {
+            serveNames();
+            event = {{"kind", "bookmark"}};
+        }
         if (event["kind"] == "stage")
             publishedStage = event["stage"], publishedSince = Span{event["sinceUs"].get<std::int64_t>()};
         event["version"] = events.size() + 1;
@@ -132,6 +136,15 @@
     });
 }
 
+// A drain is a record taken out: DNS has no word for it.
+void Desk::serveNames() {
+    std::vector<FleetNames::Listed> fleet;
+    for (const auto &[id, entry] : published)
+        if (entry["readiness"] == "live")
+            fleet.push_back({id, entry["build"].get<BuildNo>(), entry["zone"].get<std::string>()});
+    names->serve(std::move(fleet));
+}
+
 // Writes ages as they are at this moment, and keeps what was told when.
 void Desk::noteTold(int gateway, const json &event) {
     const Span at = world.clock.now();
@@ -179,6 +192,7 @@
 void Desk::list(http::Exchange &exchange, int gateway) {
     json entries = json::array();
     for (auto &[id, entry] : published) {
+        if (names) break;
         json one = entry;
         one["ageMs"] = milliseconds(world.clock.now() - Span{one["startedUs"].get<std::int64_t>()});
         entries.push_back(std::move(one));
@@ -250,6 +264,9 @@
     if (m.readiness != Readiness::live) return;
     m.readiness = Readiness::draining;
     m.leavesAt = world.clock.now() + world.day.mostNewsDelay + world.day.drainGrace + Span{kLeaveTakes};
+    // Who takes a record out has to wait for its lifetime, twice where a reply is lost, and for a
+    // confirmation.
+    if (names) m.leavesAt += 2 * world.day.recordLifetime + world.day.confirmAfter;
     changed(m);
 }
 
--- a/src/standin/desk.hpp
+++ b/src/standin/desk.hpp
@@ -4,6 +4,7 @@
 
 #include "../base/address.hpp"
 #include "../gateway/desk_client.hpp"
+#include "fleet_names.hpp"
 #include "instance.hpp"
 
 namespace deckcart::standin {
@@ -20,6 +21,7 @@
     void staffDrains(Instance &which);
     void crash(Instance &which);
 
+    FleetNames *names = nullptr;  // set: the fleet is told by records, and the list is empty
     bool still = false, stillCounts = false, listFails = false;
     Span listLate{};
     // What was seen, for the report.
@@ -56,6 +58,7 @@
     void vote(std::shared_ptr<http::Exchange> exchange);
     void publish(nlohmann::json event, Span after);
     void tell(Watcher &watcher);
+    void serveNames();
     void noteTold(int gateway, const nlohmann::json &event);
     void changed(const Member &member);
     ToldStage toldStage() const;
--- /dev/null
+++ b/src/standin/fleet_names.hpp
@@ -0,0 +1,48 @@
+// The fleet of a rehearsed day as SRV records: name servers of each gateway's own, so that what a gateway was
+// told, and when, is known. A name for each build and zone.
+#pragma once
+
+#include <set>
+
+#include "../rehearsal/audit.hpp"
+#include "../rehearsal/day.hpp"
+#include "name_server.hpp"
+
+namespace deckcart::standin {
+
+class FleetNames {
+  public:
+    struct Listed {
+        ServerId id;
+        BuildNo build = 0;
+        std::string zone;
+    };
+    FleetNames(asio::io_context &context, const rehearsal::Day &day, const Clock &clock,
+               rehearsal::Records &records, std::uint32_t seed);
+
+    // Of one gateway, HOST:PORT.
+    std::vector<std::string> addresses(int gateway) const;
+    void serve(std::vector<Listed> now);
+
+    void misbehave(std::size_t server, const NameFaults &faults);  // that server of each gateway
+    void freeze(std::size_t server, bool on);                      // it goes on with the records of now
+
+  private:
+    std::vector<dns::Record> recordsOf(const std::vector<Listed> &fleet) const;
+    void told(int gateway, const dns::Message &reply);
+
+    const rehearsal::Day &day;
+    const Clock &clock;
+    rehearsal::Records &records;
+    std::vector<std::vector<std::unique_ptr<NameServer>>> servers;  // by gateway
+    std::vector<Listed> fleet;
+    std::set<std::size_t> frozen;
+    // What each gateway knows by its replies: since when an instance is missing, if it is.
+    struct Seen {
+        bool any = false;
+        std::map<ServerId, std::optional<Span>> missing;
+    };
+    std::map<std::pair<int, std::string>, Seen> seen;
+};
+
+}  // namespace deckcart::standin
--- a/src/standin/name_server.cpp
+++ b/src/standin/name_server.cpp
@@ -210,12 +210,23 @@
                 const bool drop =
                     faults.silent ||
                     (faults.lost > 0 && double(chance()) < faults.lost * double(std::minstd_rand::max()));
-                if (!drop) sendLater(reply(*got.message, false), from);
+                if (!drop) {
+                    auto bytes = reply(*got.message, false);
+                    tell(bytes);
+                    sendLater(std::move(bytes), from);
+                }
             }
             receive();
         });
 }
 
+void NameServer::tell(const std::vector<std::uint8_t> &bytes) const {
+    if (!onTold) return;
+    const auto got = dns::decode(bytes.data(), bytes.size());
+    if (got.message && !got.message->truncated && got.message->code != std::uint8_t(dns::Code::servFail))
+        onTold(*got.message);
+}
+
 void NameServer::sendLater(std::vector<std::uint8_t> bytes, const udp::endpoint &to) {
     if (faults.wrongId) {
         auto other = bytes;
@@ -284,6 +295,7 @@
                                  ++questions, ++streams;
                                  if (onAsked) onAsked(*got.message->question);
                                  auto bytes = reply(*got.message, true);
+                                 tell(bytes);
                                  const auto size = bytes.size();
                                  bytes.insert(bytes.begin(), {std::uint8_t(size >> 8), std::uint8_t(size)});
                                  const bool ends = faults.tcpCutAt >= 0;
--- a/src/standin/name_server.hpp
+++ b/src/standin/name_server.hpp
@@ -66,6 +66,7 @@
     std::uint64_t asked() const { return questions; }
     std::uint64_t askedOverTcp() const { return streams; }
     std::function<void(const dns::Question &)> onAsked;
+    std::function<void(const dns::Message &)> onTold;  // a whole reply that leaves as it should
 
     // The reply as bytes, without what concerns sending; for the fuzz corpus too.
     std::vector<std::uint8_t> reply(const dns::Message &question, bool overTcp) const;
@@ -75,6 +76,7 @@
     void receive();
     void accept();
     void read(std::shared_ptr<Stream> stream);
+    void tell(const std::vector<std::uint8_t> &bytes) const;
     void sendLater(std::vector<std::uint8_t> bytes, const asio::ip::udp::endpoint &to);
     void send(const std::vector<std::uint8_t> &bytes, const asio::ip::udp::endpoint &to);
 
--- a/tests/unit/merge_test.cpp
+++ b/tests/unit/merge_test.cpp
@@ -218,6 +218,13 @@
     EXPECT_FALSE(b.member(6).inSet);
 }
 
+TEST(Merge, AnOlderReadingIsPassedOver) {
+    Both b;
+    b.took(1, reading(seconds(5), servers(1, 2)));
+    b.took(1, reading(seconds(4), servers(1, 4)));
+    EXPECT_EQ(b.at(seconds(5)), "1 live b1; 2 live b1; ");
+}
+
 TEST(Merge, UnknownTargetsStandAsTheyWere) {
     Both b;
     b.took(1, reading(seconds(1), servers(1, 4)));
