--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -57,7 +57,9 @@
     auto *settingsCheck = settings->add_subcommand("check", "check a document without a gateway");
     settingsCheck->add_option("file", file, "a JSON document, - for standard input")->required();
     auto *status = atApi(app.add_subcommand("status", "a gateway's counts"));
-    auto *members = atApi(app.add_subcommand("members", "the instances and the stage as a gateway was told"));
+    auto *members = atApi(app.add_subcommand("members", "the instances that a gateway routes to, and why"));
+    bool asJson = false;
+    members->add_flag("--json", asJson, "all that the gateway tells, as JSON");
 
     deckcart::cli::RehearseWords words;
     auto *rehearse =
@@ -99,7 +101,7 @@
     if (settingsApply->parsed()) return deckcart::cli::applySettings(api, file);
     if (settingsCheck->parsed()) return deckcart::cli::checkSettings(file);
     if (status->parsed()) return deckcart::cli::get(api, "/v1/status");
-    if (members->parsed()) return deckcart::cli::get(api, "/v1/members");
+    if (members->parsed()) return deckcart::cli::members(api, asJson);
     if (rehearse->parsed()) return deckcart::cli::rehearse(words);
     if (audit->parsed()) return deckcart::cli::audit(day, records);
     return 2;
--- a/src/dns/lookup.cpp
+++ b/src/dns/lookup.cpp
@@ -83,11 +83,11 @@
     const bool known_ =
         reply.code == std::uint8_t(Code::noError) || reply.code == std::uint8_t(Code::nxDomain);
     if (!known_) return failed(question, codeName(reply.code));
-    if (question.type == Type::srv) servers(reply);
+    if (question.type == Type::srv) servers(question, reply);
     else addressReply(question, reply);
 }
 
-void Lookup::servers(const Message &reply) {
+void Lookup::servers(const Question &question, const Message &reply) {
     // Aliases may come with their ends in one reply, in any order.
     for (bool moved = true; moved;) {
         moved = false;
@@ -128,7 +128,8 @@
     }
     if (seen == 0) {
         const bool nothing = reply.code == std::uint8_t(Code::nxDomain);
-        if (!nothing && at != name && reply.authority.empty()) {  // the alias's end is another zone's to tell
+        // The alias's end is another zone's to tell; asked for itself, an empty reply is the answer.
+        if (!nothing && at != question.name && reply.authority.empty()) {
             toAsk.push_back({at, Type::srv});
             return;
         }
@@ -188,8 +189,7 @@
 void Lookup::settle(const std::string &target, std::vector<asio::ip::address> addresses,
                     std::uint32_t seconds) {
     std::ranges::sort(addresses);
-    const auto twice = std::ranges::unique(addresses);
-    addresses.erase(twice.begin(), twice.end());
+    addresses.erase(std::unique(addresses.begin(), addresses.end()), addresses.end());
     if (addresses.size() > bounds.addresses) {
         result.notes.push_back(target + ": addresses over the bound left out");
         addresses.resize(bounds.addresses);
--- a/src/dns/lookup.hpp
+++ b/src/dns/lookup.hpp
@@ -64,7 +64,7 @@
     std::map<std::string, KnownAddresses> addresses() const;
 
   private:
-    void servers(const Message &reply);
+    void servers(const Question &question, const Message &reply);
     void addressReply(const Question &question, const Message &reply);
     void settle(const std::string &target, std::vector<asio::ip::address> addresses, std::uint32_t seconds);
     void noAddress(const std::string &target, const std::string &why);
--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -127,8 +127,8 @@
         ldns_rr_push_rdf(rr, nameField(alias->target));
     } else if (const auto *zone = std::get_if<ZoneStart>(&r.data)) {
         ldns_rr_set_type(rr, LDNS_RR_TYPE_SOA);
-        ldns_rr_push_rdf(rr, nameField("ns." + r.owner));
-        ldns_rr_push_rdf(rr, nameField("hostmaster." + r.owner));
+        ldns_rr_push_rdf(rr, nameField("."));
+        ldns_rr_push_rdf(rr, nameField("."));
         ldns_rr_push_rdf(rr, numberField(LDNS_RDF_TYPE_INT32, 1, 4));
         for (int k = 0; k < 3; ++k) ldns_rr_push_rdf(rr, numberField(LDNS_RDF_TYPE_PERIOD, 3600, 4));
         ldns_rr_push_rdf(rr, numberField(LDNS_RDF_TYPE_PERIOD, zone->negativeSeconds, 4));
--- a/tests/unit/dns_test.cpp
+++ b/tests/unit/dns_test.cpp
@@ -133,6 +133,17 @@
     EXPECT_EQ(chain.found().fault, "too many aliases in a row");
 }
 
+TEST(DnsLookup, AnAliasThatLeadsNowhereEnds) {
+    Lookup l(kName);
+    l.ask();
+    l.replied(askedFor(kName, Type::srv), reply({{kName, 7, Alias{"else.example.org."}}}));
+    EXPECT_EQ(l.ask().size(), 1u);
+    l.replied(askedFor("else.example.org.", Type::srv), reply({}));  // without SOA
+    EXPECT_TRUE(l.ask().empty()) << "the same question again, without end";
+    ASSERT_TRUE(l.over());
+    EXPECT_EQ(l.found().kind, FoundKind::noData);
+}
+
 TEST(DnsLookup, AnAliasAsTargetIsAnErrorOfThatTarget) {
     Lookup l(kName);
     l.ask(), l.replied(askedFor(kName, Type::srv), reply({srv("bad.example.com."), srv("r.example.org.")},
