The confirmation of a loss is asked for: its test can fail now

The test restarted the gateway, which reads the smaller set at once. Now only the question for confirmation can come within its bound; without that question it was seen to fail.

--- a/tests/path/sources_test.cpp
+++ b/tests/path/sources_test.cpp
@@ -101,12 +101,11 @@
 
 TEST_F(Sources, AConfirmedLossIsCarriedOut) {
     instancesUp(4);
-    server().serve(records({0, 1, 2, 3}, 3600));  // the second reading comes long before the lifetime's end
+    server().serve(records({0, 1, 2, 3}));
     begin();
     ASSERT_TRUE(until([&] { return live() == 4; }));
+    // Its lifetime is an hour, so that only the question for confirmation can come in time.
     servers[0]->serve(records({0}, 3600));
-    gateway.reset();
-    begin();
     ASSERT_TRUE(until([&] { return live() == 1; }));
 }
 
