Whether the module may start anew is decided in a pure module

It stood in the gateway's shell, which is to choose nothing. Moved to src/membership/restart with its reason and a test; the rule is the same.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "../base/address.hpp"
+#include "../membership/restart.hpp"
 
 namespace deckcart {
 
@@ -211,10 +212,9 @@
 }
 
 bool Gateway::mayRestartModule() const {
-    std::set<BuildNo> builds;
-    for (const auto &[id, e] : list)
-        if (e.readiness == Readiness::live) builds.insert(e.build);
-    return builds.size() <= 1 && (!told || told->phase != Phase::onTrial);
+    std::vector<ServerEntry> entries;
+    for (const auto &[id, e] : list) entries.push_back(e);
+    return membership::mayStartAnew(entries, told ? std::optional(told->phase) : std::nullopt);
 }
 
 void Gateway::apply(GatewayOrders orders, bool newModule, bool sourcesMoved) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -48,7 +48,6 @@
     // Takes new orders while reqs go on. A new start of the module (newModule) takes the reqs that come from
     // now on; those in hand end under the old one. Only where one build is listed: see mayRestartModule().
     void apply(GatewayOrders orders, bool newModule, bool sourcesMoved = false);
-    // A module that starts anew knows no key that stays and no tries of the exposure span.
     bool mayRestartModule() const;
     // Refuses new reqs, finishes those in hand, then calls back.
     void drain(std::function<void()> done);
--- a/tests/unit/merge_test.cpp
+++ b/tests/unit/merge_test.cpp
@@ -4,6 +4,7 @@
 
 #include <random>
 
+#include "../../src/membership/restart.hpp"
 #include "membership_reference.hpp"
 
 namespace deckcart::test {
@@ -252,6 +253,15 @@
     EXPECT_EQ(view.sources[0].state, SourceState::stale);
 }
 
+TEST(ModuleRestart, NeedsOneLiveBuildAndNoTrial) {
+    using membership::mayStartAnew;
+    const auto entry = [](BuildNo build, Readiness readiness) { return claimOf(1, build, readiness).entry; };
+    EXPECT_TRUE(mayStartAnew({}, std::nullopt));
+    EXPECT_TRUE(mayStartAnew({entry(1, Readiness::live), entry(2, Readiness::draining)}, Phase::released));
+    EXPECT_FALSE(mayStartAnew({entry(1, Readiness::live), entry(2, Readiness::live)}, Phase::released));
+    EXPECT_FALSE(mayStartAnew({entry(1, Readiness::live)}, Phase::onTrial));
+}
+
 // ---- drawn histories ----
 
 struct Step {
