One question in flight a name: names that share a target share the answer

Two followed names with a target in common asked for its address twice at the same time. A question that is waiting or out already is joined. Seen to fail without it.

--- a/src/dns/resolver.cpp
+++ b/src/dns/resolver.cpp
@@ -1,5 +1,6 @@
 #include "resolver.hpp"
 
+#include <algorithm>
 #include <random>
 
 namespace deckcart::dns {
@@ -32,7 +33,7 @@
 struct Resolver::Query {
     Query(asio::io_context &io, Question q, std::vector<std::size_t> order, std::uint32_t seed)
         : question(std::move(q)), asking(std::move(order), seed), timer(io), datagrams(io), stream(io) {}
-    std::string forName;
+    std::vector<std::string> forNames;  // followed names that wait for it
     Question question;
     Asking asking;
     Attempt now;
@@ -99,7 +100,7 @@
     for (auto &question : of.lookup->ask()) {
         auto query = std::make_shared<Query>(context, std::move(question), servers.order(clock.now()),
                                              std::uint32_t(chance()));
-        query->forName = of.name;
+        query->forNames.push_back(of.name);
         put(std::move(query));
     }
     if (of.lookup && of.lookup->over()) over(of);
@@ -115,6 +116,16 @@
 }
 
 void Resolver::put(std::shared_ptr<Query> query) {
+    // One question in flight a name: names that lead to the same target share the answer.
+    const auto same = [&](const std::shared_ptr<Query> &other) {
+        return !other->over && other->question == query->question;
+    };
+    auto it = std::ranges::find_if(out, same);
+    const auto queued = std::ranges::find_if(waiting, same);
+    if (it != out.end() || queued != waiting.end()) {
+        (it != out.end() ? *it : *queued)->forNames.push_back(query->forNames.front());
+        return;
+    }
     ++counted.questions;
     waiting.push_back(std::move(query));
     sendWaiting();
@@ -257,7 +268,9 @@
     query->over = true, query->close(), ++query->no;
     out.erase(query);
     ++(reply ? counted.answers : counted.failures);
-    if (const auto it = followed.find(query->forName); it != followed.end() && it->second->lookup) {
+    for (const auto &name : query->forNames) {
+        const auto it = followed.find(name);
+        if (it == followed.end() || !it->second->lookup) continue;
         auto &of = *it->second;
         if (reply && query->question.type == Type::srv) of.server = query->now.server;
         if (reply) of.lookup->replied(query->question, *reply);
--- a/tests/path/sources_test.cpp
+++ b/tests/path/sources_test.cpp
@@ -215,6 +215,28 @@
     EXPECT_TRUE(asked.contains("relay.example.com.A"));
 }
 
+TEST_F(Sources, NamesThatShareATargetAskForItOnce) {
+    instancesUp(1);
+    const auto at = *parseAddress(instances[0].id());
+    const std::string other = "_relay._tcp.example.net.";
+    document["sources"]["srv"]["names"].push_back({{"name", other}, {"build", 1}});
+    document["sources"]["srv"]["lifetimeFloorMs"] = 60000;
+    server().serve({{kName, 60, dns::Srv{0, 1, at.port(), "relay.example.com."}},
+                    {other, 60, dns::Srv{0, 1, at.port(), "relay.example.com."}},
+                    {"relay.example.com.", 60, at.address()}});
+    // Slower than the spread of the two names' first questions.
+    servers[0]->misbehave({.delay = std::chrono::milliseconds(150)});
+    int askedForTarget = 0;
+    servers[0]->onAsked = [&](const dns::Question &q) { askedForTarget += q.type == dns::Type::a; };
+    begin();
+    ASSERT_TRUE(until([&] {
+        const auto view = gateway->members()->view();
+        return view.sources[0].listed == 1 && view.sources[1].listed == 1;
+    }));
+    EXPECT_EQ(askedForTarget, 1);
+    EXPECT_EQ(live(), 1u);
+}
+
 TEST_F(Sources, TheReserveOpensWhenTheFirstClassIsGone) {
     instancesUp(2);
     auto zone = records({0}, 0, 10);
