DNS messages are read record by record: the library's reader of whole ones leaks

Fuzzing found that ldns_wire2pkt loses a record on some hostile replies, about a hundred bytes each. Records are now read one by one with their own owner, the header by hand as RFC 1035 (4.1.1) lays it out; the input is in the corpus.

--- a/src/dns/message.cpp
+++ b/src/dns/message.cpp
@@ -88,16 +88,27 @@
     return std::nullopt;
 }
 
-void readSection(const ldns_rr_list *list, std::vector<Record> &out) {
-    for (std::size_t k = 0; k < ldns_rr_list_rr_count(list); ++k) {
-        const ldns_rr *rr = ldns_rr_list_rr(list, k);
-        if (ldns_rr_get_class(rr) != LDNS_RR_CLASS_IN) continue;
-        auto data = dataIn(rr);
-        std::string owner = nameIn(ldns_rr_owner(rr));
+struct RecordFree {
+    void operator()(ldns_rr *rr) const { ldns_rr_free(rr); }
+};
+
+// Records one by one: the library's reader of whole messages loses a record where two stand that may stand
+// once.
+ldns_status readSection(const std::uint8_t *bytes, std::size_t size, std::size_t &at, std::size_t count,
+                        std::vector<Record> &out) {
+    for (std::size_t k = 0; k < count; ++k) {
+        ldns_rr *raw = nullptr;
+        const auto status = ldns_wire2rr(&raw, bytes, size, &at, LDNS_SECTION_ANSWER);
+        const std::unique_ptr<ldns_rr, RecordFree> rr(status == LDNS_STATUS_OK ? raw : nullptr);
+        if (status != LDNS_STATUS_OK) return status;
+        if (ldns_rr_get_class(rr.get()) != LDNS_RR_CLASS_IN) continue;
+        auto data = dataIn(rr.get());
+        std::string owner = nameIn(ldns_rr_owner(rr.get()));
         if (!data || owner.empty()) continue;
-        const std::uint32_t seconds = ldns_rr_ttl(rr);
+        const std::uint32_t seconds = ldns_rr_ttl(rr.get());
         out.push_back({std::move(owner), seconds >> 31 ? 0 : seconds, std::move(*data)});
     }
+    return LDNS_STATUS_OK;
 }
 
 ldns_rdf *nameField(const std::string &name) {
@@ -218,34 +229,33 @@
     std::size_t records = 0;
     for (const std::size_t at : {6u, 8u, 10u}) records += std::size_t(bytes[at]) << 8 | bytes[at + 1];
     if (records > kMostRecords) return {{}, "more records than are taken"};
-    ldns_pkt *raw = nullptr;
-    auto status = ldns_wire2pkt(&raw, bytes, size);
-    if (status != LDNS_STATUS_OK && (bytes[2] & 0x02)) {
-        // Cut in the middle of a record: the header and the question still say that it is to be had over TCP.
-        std::vector<std::uint8_t> head(bytes, bytes + size);
-        std::fill(head.begin() + 6, head.begin() + 12, std::uint8_t{0});
-        status = ldns_wire2pkt(&raw, head.data(), head.size());
-    }
-    const Packet packet(raw);
-    if (status != LDNS_STATUS_OK) return {{}, ldns_get_errorstr_by_id(status)};
-    const ldns_pkt *p = packet.get();
-    if (ldns_pkt_get_opcode(p) != LDNS_PACKET_QUERY) return {{}, "no query or reply to one"};
+    if ((bytes[2] >> 3 & 0x0f) != LDNS_PACKET_QUERY) return {{}, "no query or reply to one"};
+    const auto count = [&](std::size_t k) { return std::size_t(number<std::uint16_t>(bytes + k)); };
     Message m;
-    m.id = ldns_pkt_id(p), m.reply = ldns_pkt_qr(p), m.truncated = ldns_pkt_tc(p);
-    m.authoritative = ldns_pkt_aa(p), m.recursionDesired = ldns_pkt_rd(p);
-    m.code = ldns_pkt_get_rcode(p);
-    const ldns_rr_list *asked = ldns_pkt_question(p);
-    if (ldns_rr_list_rr_count(asked) > 1) return {{}, "more than one question"};
-    if (ldns_rr_list_rr_count(asked) == 1) {
-        const ldns_rr *rr = ldns_rr_list_rr(asked, 0);
-        std::string name = nameIn(ldns_rr_owner(rr));
-        if (name.empty() || ldns_rr_get_class(rr) != LDNS_RR_CLASS_IN)
+    m.id = number<std::uint16_t>(bytes);
+    m.reply = bytes[2] & 0x80, m.authoritative = bytes[2] & 0x04, m.truncated = bytes[2] & 0x02;
+    m.recursionDesired = bytes[2] & 0x01, m.code = bytes[3] & 0x0f;
+    std::size_t at = 12;
+    if (count(4) > 1) return {{}, "more than one question"};
+    if (count(4) == 1) {
+        ldns_rr *raw = nullptr;
+        const auto status = ldns_wire2rr(&raw, bytes, size, &at, LDNS_SECTION_QUESTION);
+        const std::unique_ptr<ldns_rr, RecordFree> rr(status == LDNS_STATUS_OK ? raw : nullptr);
+        if (status != LDNS_STATUS_OK) return {{}, ldns_get_errorstr_by_id(status)};
+        std::string name = nameIn(ldns_rr_owner(rr.get()));
+        if (name.empty() || ldns_rr_get_class(rr.get()) != LDNS_RR_CLASS_IN)
             return {{}, "a question that is not ours"};
-        m.question = Question{std::move(name), static_cast<Type>(ldns_rr_get_type(rr))};
+        m.question = Question{std::move(name), static_cast<Type>(ldns_rr_get_type(rr.get()))};
+    }
+    std::vector<Record> *sections[] = {&m.answers, &m.authority, &m.additional};
+    for (std::size_t k = 0; k < 3; ++k) {
+        const auto status = readSection(bytes, size, at, count(6 + 2 * k), *sections[k]);
+        if (status == LDNS_STATUS_OK) continue;
+        if (!m.truncated) return {{}, ldns_get_errorstr_by_id(status)};
+        // Cut in the middle of a record: the header and the question still say that it is to be had over TCP.
+        for (auto *section : sections) section->clear();
+        break;
     }
-    readSection(ldns_pkt_answer(p), m.answers);
-    readSection(ldns_pkt_authority(p), m.authority);
-    readSection(ldns_pkt_additional(p), m.additional);
     return {std::move(m), {}};
 }
 
