Choices out of I/O code and one way between entries and their listing

Read once more: which reply counts against its server and what is left of addresses' lifetimes stood in the resolver's sockets, defaults of the merge in the settings' reader, the way from an entry to its listing in three places, the saving of lists in two. Moved or shared; behaviour and assertions are the same: unit, path and service tests pass.

--- a/src/dns/asking.cpp
+++ b/src/dns/asking.cpp
@@ -70,6 +70,11 @@
     return out;
 }
 
+bool ofNoUse(const Message &reply) {
+    const auto code = static_cast<Code>(reply.code);
+    return code != Code::noError && code != Code::formErr && code != Code::notImp;
+}
+
 Asking::Asking(std::vector<std::size_t> servers, std::uint32_t seed)
     : order(std::move(servers)), chance(seed) {}
 
--- a/src/dns/asking.hpp
+++ b/src/dns/asking.hpp
@@ -34,6 +34,9 @@
     Span within{};  // no answer by then: the next one
 };
 
+// Whether such a reply is held against its server, as silence is: it knows the question and won't answer.
+bool ofNoUse(const Message &reply);
+
 // One question until it is answered or given up. At most kMostAttempts messages are sent for it.
 class Asking {
   public:
--- a/src/dns/lookup.cpp
+++ b/src/dns/lookup.cpp
@@ -63,6 +63,12 @@
     return std::string(rest);
 }
 
+std::map<std::string, KnownAddresses> aged(std::map<std::string, KnownAddresses> known, Span passed) {
+    const auto gone = std::uint32_t(std::chrono::duration_cast<std::chrono::seconds>(passed).count());
+    for (auto &[target, there] : known) there.seconds = there.seconds > gone ? there.seconds - gone : 0;
+    return known;
+}
+
 Lookup::Lookup(std::string serviceName, std::map<std::string, KnownAddresses> before, LookupBounds with)
     : name(std::move(serviceName)), at(name), known(std::move(before)), bounds(with) {
     result.seconds = kForever;
--- a/src/dns/lookup.hpp
+++ b/src/dns/lookup.hpp
@@ -49,6 +49,9 @@
     std::uint32_t seconds = 0;  // 0: out of date, for failures only (RFC 8767)
 };
 
+// What is left of their lifetimes: asking for each target at each turn would be 300 questions.
+std::map<std::string, KnownAddresses> aged(std::map<std::string, KnownAddresses> known, Span passed);
+
 class Lookup {
   public:
     Lookup(std::string name, std::map<std::string, KnownAddresses> known = {}, LookupBounds bounds = {});
--- a/src/dns/resolver.cpp
+++ b/src/dns/resolver.cpp
@@ -87,12 +87,7 @@
 
 void Resolver::startLookup(Followed &of) {
     if (of.lookup) return;
-    // What is left of the addresses' lifetimes; one question for each target at each turn would be 300.
-    const auto passed =
-        std::uint32_t(std::chrono::duration_cast<std::chrono::seconds>(clock.now() - of.addressesAt).count());
-    auto known = of.addresses;
-    for (auto &[target, there] : known) there.seconds = there.seconds > passed ? there.seconds - passed : 0;
-    of.lookup.emplace(of.name, std::move(known));
+    of.lookup.emplace(of.name, aged(of.addresses, clock.now() - of.addressesAt));
     goOn(of);
 }
 
@@ -250,9 +245,7 @@
         ended(query, &*got.message, {});
         return true;
     }
-    const auto code = static_cast<Code>(got.message->code);
-    if (code != Code::noError && code != Code::formErr && code != Code::notImp)
-        servers.silent(query->now.server, clock.now());
+    if (ofNoUse(*got.message)) servers.silent(query->now.server, clock.now());
     attempt(query);
     return true;
 }
--- a/src/gateway/desk_client.cpp
+++ b/src/gateway/desk_client.cpp
@@ -18,7 +18,6 @@
     }
 }
 Span milli(double ms) { return Span{std::llround(ms * 1000)}; }
-double inMs(Span s) { return double(s.count()) / 1000; }
 
 template <class E>
 E named(const json &from, const char *name, std::initializer_list<std::pair<const char *, E>> known) {
@@ -65,7 +64,7 @@
              {"readiness", readiness},
              {"weight", s.weight},
              {"incarnation", s.incarnation}};
-    if (s.age) out["ageMs"] = inMs(*s.age);
+    if (s.age) out["ageMs"] = milliseconds(*s.age);
     return out;
 }
 
@@ -86,12 +85,20 @@
     return {s.id, orders.zoneNo(s.zone), s.cell, s.build, s.readiness, s.weight, {}};
 }
 
+ListedServer listedOf(const ServerEntry &e, const std::vector<std::string> &zones, Span now) {
+    ListedServer s;
+    s.id = e.id, s.cell = e.cell, s.build = e.build, s.readiness = e.readiness, s.weight = e.weight;
+    if (std::size_t(e.zone) < zones.size()) s.zone = zones[std::size_t(e.zone)];
+    if (e.startedAt) s.age = now - *e.startedAt;
+    return s;
+}
+
 json toJson(const ToldStage &s) {
     return {{"build", s.build},
             {"step", s.step},
             {"phase", nameOf(s.phase)},
             {"cap", s.cap},
-            {"sinceMs", inMs(s.since)}};
+            {"sinceMs", milliseconds(s.since)}};
 }
 
 ToldStage readStage(const json &from) {
--- a/src/gateway/desk_client.hpp
+++ b/src/gateway/desk_client.hpp
@@ -28,6 +28,9 @@
 // As the module takes it, but for when it started: that is on the reader's clock.
 ServerEntry entryOf(const ListedServer &server, const GatewayOrders &orders);
 
+// The way back, with its age at `now`.
+ListedServer listedOf(const ServerEntry &entry, const std::vector<std::string> &zones, Span now);
+
 struct ToldStage {
     BuildNo build = 0;
     int step = 0;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -811,13 +811,7 @@
 
 std::vector<ListedServer> Gateway::listed() const {
     std::vector<ListedServer> out;
-    for (const auto &[id, e] : list) {
-        ListedServer s;
-        s.id = id, s.cell = e.cell, s.build = e.build, s.readiness = e.readiness, s.weight = e.weight;
-        if (std::size_t(e.zone) < given.zones.size()) s.zone = given.zones[std::size_t(e.zone)];
-        if (e.startedAt) s.age = lastSeen - *e.startedAt;
-        out.push_back(std::move(s));
-    }
+    for (const auto &[id, e] : list) out.push_back(listedOf(e, given.zones, lastSeen));
     return out;
 }
 
--- a/src/gateway/member_feed.cpp
+++ b/src/gateway/member_feed.cpp
@@ -16,13 +16,13 @@
            a.readiness == b.readiness && a.weight == b.weight && a.startedAt == b.startedAt;
 }
 
-double inMs(Span s) { return double(s.count()) / 1000; }
 Span ms(const json &from) { return Span{std::llround(from.get<double>() * 1000)}; }
 
-json entryJson(const ServerEntry &e) {
-    ListedServer s;
-    s.id = e.id, s.cell = e.cell, s.build = e.build, s.readiness = e.readiness, s.weight = e.weight;
-    return toJson(s);
+// An entry without what only a desk knows of it.
+json entryJson(const ServerEntry &e, const std::vector<std::string> &zones, Span now) {
+    json out = toJson(listedOf(e, zones, now));
+    out.erase("incarnation");
+    return out;
 }
 
 }  // namespace
@@ -39,7 +39,7 @@
         const auto &source = rules.sources[k];
         if (source.kind == membership::SourceKind::desk) desk = k;
         if (source.kind == membership::SourceKind::nodes)
-            merge.took(k, {clock(), std::chrono::hours(24 * 365), "settings", given.nodes, true, {}});
+            merge.took(k, {clock(), membership::kForever, "settings", given.nodes, true, {}});
         if (source.kind == membership::SourceKind::srv)
             names[source.name] = {k,
                                   *std::ranges::find(given.names, source.name, &membership::SrvName::name)};
@@ -64,7 +64,7 @@
     std::vector<membership::Claim> claims;
     for (const auto &e : list.entries) claims.push_back({e, membership::kNoClass, e.id});
     if (list.complete)
-        merge.took(*desk, {clock(), std::chrono::hours(24 * 365), "desk", std::move(claims), false, {}});
+        merge.took(*desk, {clock(), membership::kForever, "desk", std::move(claims), false, {}});
     else merge.tookChanges(*desk, clock(), claims);
     if (onRead) onRead();
     look(false);
@@ -126,14 +126,11 @@
             const std::vector<std::string> &zones, Span now) {
     json instances = json::array(), rows = json::array();
     for (const auto &m : view.members) {
-        json one = entryJson(m.entry);
-        one.erase("incarnation");
-        if (std::size_t(m.entry.zone) < zones.size()) one["zone"] = zones[std::size_t(m.entry.zone)];
-        if (m.entry.startedAt) one["ageMs"] = inMs(now - *m.entry.startedAt);
+        json one = entryJson(m.entry, zones, now);
         if (m.priority != membership::kNoClass) one["priority"] = m.priority;
         one["inSet"] = m.inSet, one["reason"] = m.reason, one["sources"] = m.sources,
         one["state"] = nameOf(m.state);
-        one["toldAgoMs"] = inMs(m.age), one["lifetimeLeftMs"] = inMs(m.lifetimeLeft);
+        one["toldAgoMs"] = milliseconds(m.age), one["lifetimeLeftMs"] = milliseconds(m.lifetimeLeft);
         instances.push_back(std::move(one));
     }
     for (std::size_t k = 0; k < view.sources.size(); ++k) {
@@ -141,8 +138,8 @@
         rows.push_back({{"name", sources[k].name},
                         {"kind", nameOf(sources[k].kind)},
                         {"state", nameOf(s.state)},
-                        {"toldAgoMs", inMs(s.age)},
-                        {"lifetimeLeftMs", inMs(s.lifetimeLeft)},
+                        {"toldAgoMs", milliseconds(s.age)},
+                        {"lifetimeLeftMs", milliseconds(s.lifetimeLeft)},
                         {"listed", s.listed},
                         {"heldLosses", s.held},
                         {"toldBy", s.from},
@@ -156,22 +153,21 @@
     for (const auto &s : saved) {
         json listed = json::array(), stops = json::array(), withdrawn = json::array();
         for (const auto &[c, since] : s.listed) {
-            json one = entryJson(c.entry);
-            one.erase("incarnation");
+            json one = entryJson(c.entry, {}, now);
             one["zoneNo"] = c.entry.zone, one["as"] = c.as, one["priority"] = c.priority,
-            one["sinceMs"] = inMs(now - since);
-            if (c.entry.startedAt) one["ageMs"] = inMs(now - *c.entry.startedAt);
+            one["sinceMs"] = milliseconds(now - since);
             listed.push_back(std::move(one));
         }
         for (const auto &[id, stop] : s.stops)
-            stops.push_back(
-                {{"id", id}, {"gone", stop.first == Readiness::gone}, {"sinceMs", inMs(now - stop.second)}});
+            stops.push_back({{"id", id},
+                             {"gone", stop.first == Readiness::gone},
+                             {"sinceMs", milliseconds(now - stop.second)}});
         for (const auto &[id, at] : s.withdrawn)
-            withdrawn.push_back({{"id", id}, {"sinceMs", inMs(now - at)}});
+            withdrawn.push_back({{"id", id}, {"sinceMs", milliseconds(now - at)}});
         out.push_back({{"name", s.name},
                        {"from", s.from},
-                       {"toldAgoMs", inMs(now - s.at)},
-                       {"lifetimeMs", inMs(s.lifetime)},
+                       {"toldAgoMs", milliseconds(now - s.at)},
+                       {"lifetimeMs", milliseconds(s.lifetime)},
                        {"listed", std::move(listed)},
                        {"stops", std::move(stops)},
                        {"withdrawn", std::move(withdrawn)}});
--- a/src/gateway/service.cpp
+++ b/src/gateway/service.cpp
@@ -119,21 +119,19 @@
             saveSoon();
         });
     }
+    json listedJson() const {
+        json instances = json::array();
+        for (const auto &one : gateway->listed()) instances.push_back(toJson(one));
+        return instances;
+    }
     void saveList() {
         if (start.state.empty() || !listChanged) return;
-        std::string fault;
-        if (auto *feed = gateway->members()) {
-            const json whole{{"format", kSourcesFormat},
-                             {"savedMs", wallMs()},
-                             {"sources", toJson(feed->saved(), feed->now())}};
-            fault = writeWhole(start.state / "sources.json", whole.dump() + "\n", Durable::atLeisure);
-        } else {
-            json instances = json::array();
-            for (const auto &one : gateway->listed()) instances.push_back(toJson(one));
-            const json whole{
-                {"format", kListFormat}, {"savedMs", wallMs()}, {"instances", std::move(instances)}};
-            fault = writeWhole(start.state / "list.json", whole.dump() + "\n", Durable::atLeisure);
-        }
+        auto *feed = gateway->members();
+        json whole{{"format", feed ? kSourcesFormat : kListFormat}, {"savedMs", wallMs()}};
+        if (feed) whole["sources"] = toJson(feed->saved(), feed->now());
+        else whole["instances"] = listedJson();
+        const auto fault = writeWhole(start.state / (feed ? "sources.json" : "list.json"),
+                                      whole.dump() + "\n", Durable::atLeisure);
         if (fault.empty()) listChanged = false;  // else tried again
         if (fault != saveFault && !fault.empty()) log.warn("save", {{"fault", fault}});
         saveFault = fault;
@@ -214,8 +212,7 @@
                 body["questions"] = {{"asked", asked.questions}, {"overUdp", asked.udp},
                                      {"overTcp", asked.tcp},     {"answered", asked.answers},
                                      {"failed", asked.failures}, {"dropped", asked.dropped}};
-            } else
-                for (const auto &one : gateway->listed()) body["instances"].push_back(toJson(one));
+            } else body["instances"] = listedJson();
             if (const auto stage = gateway->stage()) body["stage"] = toJson(*stage);
             answer(call, 200, body);
         } else if (path == "/v1/wrong-answers") {
--- a/src/membership/merge.cpp
+++ b/src/membership/merge.cpp
@@ -5,9 +5,6 @@
 namespace deckcart::membership {
 namespace {
 
-// A lifetime without end, as a fixed list has: far from overflow when added to a time.
-constexpr Span kForever = std::chrono::hours(24 * 365 * 100);
-
 Span added(Span at, Span lifetime) { return at + std::min(lifetime, kForever); }
 
 }  // namespace
--- a/src/membership/merge.hpp
+++ b/src/membership/merge.hpp
@@ -22,16 +22,21 @@
 
 struct MergeRules {
     std::vector<SourceRule> sources;  // the first has precedence
-    Span longestStale{};              // beyond the end of a reading's lifetime; then its source has failed
-    double confirmShare = 0.3;        // 0 to 1: a loss of more than this part of what a source listed is held
-    Span confirmAfter{};              // a held loss told again so much later is believed
-    Span grace{};                     // what leaves the set is draining for so long, then gone
+    // An hour outlasts most outages of name servers.
+    Span longestStale =
+        std::chrono::hours(1);  // beyond the end of a reading's lifetime; then its source has failed
+    double confirmShare = 0.3;  // 0 to 1: a loss of more than this part of what a source listed is held
+    Span confirmAfter = std::chrono::seconds(5);  // a held loss told again so much later is believed
+    // Longer than the usual route timeout, so that reqs in hand end.
+    Span grace = std::chrono::seconds(30);  // what leaves the set is draining for so long, then gone
     // Of each build: the next class of priority opens while fewer live instances than reserveBelow are in the
     // open ones, and closes once those before it have reserveUntil. 1 <= reserveBelow <= reserveUntil.
     int reserveBelow = 1, reserveUntil = 2;
 };
 
 constexpr int kNoClass = -1;
+// A lifetime without end, as a fixed list has: far from overflow when added to a time.
+constexpr Span kForever = std::chrono::hours(24 * 365 * 100);
 
 struct Claim {
     ServerEntry entry;
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -210,8 +210,6 @@
         const json &from = *it;
         SourceOrders orders;
         auto &merge = orders.merge;
-        merge.longestStale = std::chrono::hours(1), merge.confirmAfter = std::chrono::seconds(5);
-        merge.grace = std::chrono::seconds(30);
         take(from, "longestStalenessMs", merge.longestStale), take(from, "confirmShare", merge.confirmShare);
         take(from, "confirmAfterMs", merge.confirmAfter), take(from, "graceMs", merge.grace);
         take(from, "reserveBelow", merge.reserveBelow);
