A report of a wrong answer counts for the build that answered

Seen: wrong_of_earlier_build fails: two reports of answers of the earlier build cast 'back' on the trial, as the ids had come to run it. Ruled out: the gateway's record of the answer (server, route, when sent) is right; the event says since when. At fault: on(WrongReported), policy.cpp 741-745 of: took the id's build of now. Change: a server keeps the build listed before and when it changed.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -84,6 +84,8 @@
     Span asideUntil{};
     Span asideFor{};
     std::deque<Span> coldSends;
+    BuildNo ranBefore = 0;  // the build that the id was listed with until then
+    Span changedAt{};
     double inHand = 0;  // reqs that it holds, of all gateways, as last told
     Span inHandAt{};
     int given = 0;          // its answers among the record's `done`
@@ -588,6 +590,8 @@
                 s.coldSends.clear();
                 s.coldChance = chance();
             }
+            if (!s.entry.id.empty() && s.entry.build != e.build)
+                s.ranBefore = s.entry.build, s.changedAt = now;
             s.entry = e;
         }
         following = true;
@@ -740,8 +744,11 @@
     }
 
     void on(const WrongReported &w) {
-        const auto s = servers.find(w.server);
-        if (s != servers.end() && told && s->second.entry.build == news.build)
+        const auto at = servers.find(w.server);
+        if (at == servers.end() || !told) return;
+        // The id may have come to run another build since that try was sent.
+        const Server &s = at->second;
+        if ((now - w.since < s.changedAt ? s.ranBefore : s.entry.build) == news.build)
             ++wrong, met.push_back({now, 1 / std::max(0.01, v.wrongReported)});
     }
     void on(const TallyTold &c) {
