Stage news that a later one has overtaken take nothing back

Seen: older_news fails: after 'going back' at cap 0, a delayed 'on trial' at 0.5 sent reqs to the bad build again; an older step began the streaks anew. It can happen: an answered vote tells the stage of now, what is pushed comes later. Ruled out: news of an earlier build (passed over), the watch alone (in order). At fault: on(StageNews), policy.cpp 776-808 of: any news of the same build was believed. Change: a build passes through its stages one way; the cap and the guard go by the stricter of the furthest stage and the one told last, so that the rule holds by either reading.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,6 +37,7 @@
 constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
 constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
 constexpr Span kPatience = 2500ms;  // 'on' 2 s after the stage's clock has started; half more as we guess it
+constexpr Span kOvertaken = 8s;     // news are late by less; a build offered again begins later than that
 constexpr Span kClockLag = 1s, kMachinesLate = 8s;  // a stage's clock: after its last machine; at the latest
 constexpr double kColdMargin = 0.5;  // part of the tip multiple that is used: unequal gateways add up
 constexpr double kRetryRate = 0.2, kRetryBurst = 10;  // further tries a req, more would feed a jam; saved up
@@ -236,9 +237,10 @@
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
 
-    bool told = false;  // stage news has come since the start
-    StageNews news;
-    Span newsBegan{};  // when the stage told last began
+    bool told = false;         // stage news has come since the start
+    StageNews news, lastTold;  // the furthest stage of the newest build; what was told last, be it older
+    Span newsBegan{};          // when the furthest stage began
+    Span firstTold{};          // since when this gateway knows of any stage
 
     Arm trial, earlier, lastEarlier;
     Span windowBegan{};
@@ -308,8 +310,14 @@
             std::find_if(live.rbegin(), live.rend(), [&](const auto &b) { return !onTrial(b.first); });
         return at == live.rend() ? 0 : at->first;
     }
+    // For the rules the stricter one counts, the furthest stage or the one told last.
+    bool bound(BuildNo b) const {
+        return onTrial(b) || (b == news.build && (lastTold.build < b || lastTold.phase != Phase::released));
+    }
     double cap(BuildNo b) const {
-        return told && b == news.build ? news.cap : v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
+        const double first = v.exposureCaps.empty() ? 0 : v.exposureCaps.front();
+        if (!told || b != news.build) return first;
+        return std::min(news.cap, lastTold.build == b ? lastTold.cap : first);
     }
     // The part of the keys whose first sends go to the trial build: 0.7 of the cap. Exception: while machines
     // are missing or cold, what of the stage runs, by warmth: the few would be crowded. Harm: one short.
@@ -349,7 +357,9 @@
         const auto step = std::size_t(news.step);
         return step < v.stageShares.size() ? v.stageShares[step] : 1;
     }
-    int step(BuildNo b) const { return told && b == news.build ? news.step : 0; }
+    int step(BuildNo b) const {
+        return told && b == news.build && lastTold.build == b ? std::min(news.step, lastTold.step) : 0;
+    }
 
     // ---- the rules: the one place that every send passes ----
     bool passes(const Req &rq, Server &s) {
@@ -368,7 +378,7 @@
         if (!s.listed()) return false;  // drains
         // exposure
         const BuildNo build = s.entry.build;
-        if (onTrial(build)) {
+        if (bound(build)) {
             if (step(build) < v.guardedStages && rt.effect != Effect::retriable) return false;
             if (!withinCap(build, rq.in.route)) return false;
         }
@@ -540,7 +550,7 @@
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
         if (cold(s)) s.coldSends.push_back(now);
-        if (onTrial(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
+        if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
     }
 
@@ -778,16 +788,27 @@
         }
         return lost > other + kFailMargin * ours.count() && lost > kFailRatio * other;
     }
+    static std::pair<int, int> order(const StageNews &n) {  // a build passes through these one way
+        const int phase = n.phase == Phase::onTrial ? 0 : n.phase == Phase::released ? 1 : 2;
+        return {n.phase == Phase::withdrawn ? 3 : phase, n.step};
+    }
     void on(const StageNews &n) {
         if (n.answersVote) {
             votePending = false;
             if (n.how == Outcome::ok) standing = lastVote, voteDue = now + v.voteLife * 6 / 10;
             else voteDue = now + (n.how == Outcome::moot ? kMootRetry : kVoteRetry);
         }
-        if (n.how != Outcome::ok || (told && n.build < news.build)) return;
+        if (n.how != Outcome::ok) return;
+        lastTold = n;
+        if (told && n.build < news.build) return;
         const bool fresh = !told || n.build != news.build;
         const bool changed = fresh || n.step != news.step || n.phase != news.phase;
-        told = true, news = n;
+        if (!told) firstTold = now;
+        told = true;
+        // News that a later one has overtaken, as the answer to a vote does: the stage passed does not come
+        // back with its cap and its streaks. Harm: a number offered again is taken for news for some seconds.
+        if (!fresh && order(n) < order(news) && now - n.since < newsBegan + kOvertaken) return;
+        news = n;
         if (!changed) return;
         newsBegan = now - n.since;
         countServers();
