Nothing seen is no proof: no 'on' after a restart, no 'back' on shared failures

Ruled out: windows (both builds are counted there); the trouble-of-all exception (needs four losses of the earlier build in one window). Change: the quiet is what this gateway has listened to, and in a rough time some answer of the trial is part of it; pairs and doubts must be over twice what the earlier build loses as well.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -246,7 +246,7 @@
     Span windowBegan{};
     int healthy = 0, unhealthy = 0;
     Span lastTrialFailure{};
-    int pairsTrial = 0, pairsEarlier = 0, wrong = 0;
+    int pairsTrial = 0, pairsEarlier = 0, wrong = 0, triedTrial = 0;
     std::deque<std::pair<Span, double>> met;  // trial tries of the last vote life; over 0: as many bad ones
     bool bad = false, eased = false, votePending = false;
     Span easedAt{}, shedAt{}, pooledUntil{};  // shedAt: when a req was last shed for want of pace
@@ -736,7 +736,7 @@
         const bool allLose = many() && earlier.losesMany();
         if (isTrial && failed && (!t.cold || end.how == Outcome::error) && !allLose) lastTrialFailure = now;
         ownErrors += isTrial && end.how == Outcome::error;
-        if (isTrial) met.push_back({now, 0});
+        if (isTrial) met.push_back({now, 0}), ++triedTrial;
         if (t.cold || t.build > news.build || (eased && t.sent < easedAt + kWindowSpan)) return;
         arm.add(rq.in.route, t.server->entry.id, failed, end.how == Outcome::error, ratio);
         if (end.how == Outcome::ok) {
@@ -813,7 +813,7 @@
         newsBegan = now - n.since;
         countServers();
         if (fresh) {
-            bad = eased = false, wrong = pairsTrial = pairsEarlier = ownErrors = 0;
+            bad = eased = false, wrong = pairsTrial = pairsEarlier = triedTrial = ownErrors = 0;
             lastEarlier = Arm{}, met.clear(), pooledUntil = Span{0};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
@@ -898,6 +898,15 @@
         return std::nullopt;
     }
 
+    // Whether so many bad ones of the trial's tries are over twice what the earlier build loses as well, of
+    // its window and the last. Guards against 'back' on a first few failures that both share. Harm: some
+    // seconds of a bad build in a rough time.
+    bool apart(double evil, double tries, double Arm::Cell::*what) const {
+        const double n = earlier.count() + lastEarlier.count();
+        const double shared = (earlier.sum(what) + lastEarlier.sum(what)) / std::max(1.0, n);
+        return evil > kFailRatio * shared * (tries + kPooledLeast);
+    }
+
     // Exception where many votes are needed to go back: one gateway of hundreds has no window in time, so its
     // vote may rest on the last vote life's few answers and lapses with them; the votes are the least count.
     // Covers errors, wrong answers, slowness. Harm: where votes needed are many but of few of the gateways.
@@ -905,7 +914,8 @@
         forget(met, now - v.voteLife);
         double tries = 0, evil = 0;
         for (const auto &[at, weight] : met) tries += weight == 0, evil += weight;
-        if (evil > 0 && evil >= kPooledFails * tries) return true;
+        if (evil >= std::max(0.01, kPooledFails * tries) && apart(evil, tries, &Arm::Cell::fails))
+            return true;
         const auto ours = valuesSince(trial.slowness, now - kSlowSpan);
         const auto theirs = valuesSince(earlier.slowness, now - kSlowSpan);
         const double errors = std::min(slowerBy(ours, theirs), slowerBy(ours, reference));
@@ -930,7 +940,9 @@
         // Where two or three votes are needed each rests on a pair less; the pooled ones lapse and so need
         // one.
         const int pairs = v.votesToGoBack > 1 && v.votesToGoBack < kPooledVotes ? kPairsBack - 1 : kPairsBack;
-        if (pairsTrial >= pairs && pairsTrial > 2 * pairsEarlier + 1) return convict("pairs");
+        if (pairsTrial >= pairs && pairsTrial > 2 * pairsEarlier + 1 &&
+            apart(pairsTrial, triedTrial, &Arm::Cell::errors))
+            return convict("pairs");
         judgeTally();
         if (bad) return;
         if (v.votesToGoBack >= kPooledVotes && pooledDoubts()) pooledUntil = now + v.voteLife;
@@ -959,7 +971,11 @@
         const auto clock = clockStart();
         if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
         if (suspicion != Suspicion::none || (slowSince != Span{0} && now >= clearUntil)) return;
-        const bool quiet = now - std::max(newsBegan, lastTrialFailure) >= kQuiet && tallySick == 0;
+        // Quiet is what this gateway has listened to. Guards against an 'on' of one that has started since,
+        // or has seen no answer of the trial in a rough time. Harm: a restart delays its vote.
+        const bool rough = earlier.losesMany() || (shedAt != Span{0} && now - shedAt < kFullFor);
+        const bool quiet = now - std::max({newsBegan, firstTold, lastTrialFailure}) >= kQuiet &&
+                           tallySick == 0 && !(rough && met.empty());
         if (healthy >= kHealthyStreak) want(Verdict::on, "healthy");
         else if (quiet) want(Verdict::on, "quiet");
     }
