Counts of reqs are trimmed also while no build is on trial

Seen by reading: accepted reqs (taken) were trimmed only by the exposure check, latencies (pulse) only by the pause, trial tries (met) only where many votes are needed: between releases each grew by 8 to 16 bytes a req for ever. Change: trimmed each 100 ms to the same spans; decisions are the same.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -332,6 +332,9 @@
     }
     void countServers() {
         countDue = now + kCountEvery;
+        // Here, since nobody may read them for long: with no build on trial they grew with every req.
+        for (auto &queue : taken) forget(queue, now - v.exposureSpan + kTick);
+        forget(pulse, now - kPulseSpan), forget(met, now - v.voteLife), forget(ends, now - kPaceSpan);
         count = {};
         std::vector<double> slow;
         for (const auto &[build, list] : live)
