Nothing leaves late: connects, drains and repeats on real sockets; one report an answer

Ruled out: the module's own gates (it decides in time), idle connections (their bytes leave at once), a repeat below the module: WhenAllFailsTheSocketsSeeWhatTheModuleSentAndNoMore passed before as well: 100 reqs, all reset, at most a fifth and ten more tries.

--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -45,6 +45,7 @@
     bool mayCancel = false;
     int mostTries = 1;
     Span longestRetryAfter{};
+    Span sendsWithin{};  // a try may reach its server so much later than it was decided
     bool retryAfterTold = false;
     bool listMustBeAsked = false;
     Span askWithin{};
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -485,6 +485,21 @@
     }
     for (const auto &[record, n] : records) queue.emplace_back(record, event);
     decide();
+    if (std::holds_alternative<ListTold>(event)) endUnsent();
+}
+
+// A try that is still being connected when its instance is told to drain would be new there: it ends as one
+// that could not be connected, and where the req goes then is the module's.
+void Gateway::endUnsent() {
+    std::vector<std::pair<ReqId, int>> unsent;
+    for (const auto &[id, rq] : reqs)
+        for (std::size_t k = 0; k < rq->tries.size(); ++k) {
+            const Try &t = rq->tries[k];
+            const auto entry = list.find(t.server);
+            const bool stays = entry != list.end() && entry->second.readiness == Readiness::live;
+            if (!t.over && !stays && !t.connection->handedOver()) unsent.push_back({id, int(k)});
+        }
+    for (const auto &[id, no] : unsent) tryEnded(id, no, Outcome::connectFailed);
 }
 
 void Gateway::happened(Event event, InstanceId record) {
@@ -818,6 +833,7 @@
 bool Gateway::wrongAnswer(const std::string &reqId) {
     const auto it = passed.find(reqId);
     if (it == passed.end()) return false;
+    if (std::exchange(it->second.reported, true)) return true;  // known: one answer is wrong once
     const Passed what = it->second;
     later([this, what] { happened(WrongReported{what.server, what.route, turn() - what.sent}); });
     return true;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -84,6 +84,7 @@
     void deadline(ReqId id);
     void happened(Event event, InstanceId record);
     void happened(Event event);  // to every record
+    void endUnsent();
     void decide();
     void carryOut(InstanceId record, const Action &action);
     void send(InstanceId record, const SendTry &what);
@@ -136,6 +137,7 @@
         ServerId server;
         int route = 0;
         Span sent{};
+        bool reported = false;
     };
     std::unordered_map<std::string, Passed> passed;  // answers that a client may still report
     std::deque<std::string> passedOrder;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -25,8 +25,11 @@
     });
     socket.async_connect(to, [self = shared_from_this(), no](asio::error_code fault) {
         if (self->closed || self->callNo != no) return;
+        // Read after its bound, as after a standstill of this process, it is late as well: what was decided
+        // then is not sent now.
+        const bool late = self->timer.expiry() <= std::chrono::steady_clock::now();
         self->timer.cancel();
-        if (fault) return self->finish(CallEnd::connectFailed);
+        if (fault || late) return self->finish(CallEnd::connectFailed);
         self->connected = true;
         asio::error_code ignored;
         self->socket.set_option(tcp::no_delay(true), ignored);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -641,7 +641,8 @@
         const Try *ran = rq.firstThatMayHaveRun();
         const Route &rt = route(rq);
         if (!ran || rt.effect == Effect::retriable) return true;
-        return rt.effect == Effect::deduped && now <= ran->sent + rt.repeatWindow - 2 * kTick;
+        const Span latest = ran->sent + rt.repeatWindow - v.sendsWithin - 2 * kTick;
+        return rt.effect == Effect::deduped && now <= latest;
     }
 
     void on(const ReqGone &gone) {
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -113,6 +113,7 @@
         take(up, "idleMs", u.idleFor), take(up, "stalledMs", u.stalledFor);
         take(up, "heldAnswerBytes", u.heldAnswerBytes), take(up, "probeWithinMs", u.probeWithin);
         take(up, "probePath", u.probePath);
+        out.module.sendsWithin = u.connectWithin;
     }
 
     void headers() {
@@ -334,7 +335,10 @@
 bool sameModule(const json &a, const json &b) {
     for (const char *name : {"gateway", "zones", "routes", "accounts", "allowed", "rules", "release"})
         if (a.value(name, json{}) != b.value(name, json{})) return false;
-    return true;
+    const auto connect = [](const json &of) {
+        return of.value("/upstream/connectWithinMs"_json_pointer, json{});
+    };
+    return connect(a) == connect(b);
 }
 
 }  // namespace deckcart
--- a/tests/path/gateway_test.cpp
+++ b/tests/path/gateway_test.cpp
@@ -412,6 +412,59 @@
     for (const auto &i : instances) EXPECT_EQ(i.reqs.size(), 1u) << "probed, or sent the req: never both";
 }
 
+TEST_F(Path, AConnectThatIsLateIsNotUsed) {
+    // The connect is made in time, but this process stands still until after its bound: nothing may be sent.
+    struct Ends : http::CallSink {
+        void onAnswerHead(const http::AnswerHead &) override {}
+        void onAnswerBody(std::string_view) override {}
+        void onCallEnd(http::CallEnd what) override { how = what; }
+        std::optional<http::CallEnd> how;
+    } ends;
+    auto &there = instance([](auto, auto &) { return ok(); });
+    const auto connection = std::make_shared<http::ClientConnection>(io, 4096);
+    const auto late = std::chrono::steady_clock::now() + 20ms;
+    connection->call(*parseAddress(there.id()), 10ms, "GET /x HTTP/1.1\r\n\r\n", false, &ends);
+    while (std::chrono::steady_clock::now() < late) continue;
+    ASSERT_TRUE(until([&] { return ends.how.has_value(); }));
+    EXPECT_EQ(ends.how, http::CallEnd::connectFailed);
+    EXPECT_FALSE(connection->handedOver());
+}
+
+TEST_F(Path, ADrainWhileItIsBeingConnectedIsKept) {
+    // Its queue of connections is full, so that the connect hangs.
+    tcp::acceptor full(io);
+    full.open(tcp::v4());
+    full.bind(tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    full.listen(0);
+    std::deque<tcp::socket> fill;
+    for (int k = 0; k < 4; ++k) {
+        fill.emplace_back(io);
+        fill.back().async_connect(full.local_endpoint(), [](asio::error_code) {});
+    }
+    const ServerId hangs = format(full.local_endpoint());
+    desk.list(hangs);
+    document["upstream"] = {{"connectWithinMs", 3500}};
+    start();
+    auto &c = client();
+    c.send("POST /once HTTP/1.1\r\nHost: r\r\n\r\n");
+    ASSERT_TRUE(until([&] { return gateway->counts().tries == 1; }));
+    auto &other = instance([](auto, auto &) { return ok(); });
+    desk.list(hangs, 1, Readiness::draining);
+    ASSERT_TRUE(until([&] { return c.statuses().size() == 1; }, 900ms)) << "before the connect could be made";
+    EXPECT_EQ(c.statuses(), std::vector<int>{200});
+    EXPECT_EQ(other.reqs.size(), 1u);
+}
+
+TEST_F(Path, ARepeatLeavesTimeToConnectWithinItsWindow) {
+    for (int k = 0; k < 2; ++k)
+        instance([this](auto, auto &) { return total(instances) == 1 ? Reply{"", Then::reset} : ok(); });
+    document["routes"][1]["repeatWindowMs"] = 200;
+    document["upstream"] = {{"connectWithinMs", 250}};
+    start();
+    EXPECT_EQ(statusOf(ask("/deduped")), 503) << "a connect could outlast the memory of the first";
+    EXPECT_EQ(total(instances), 1u);
+}
+
 TEST_F(Path, AReqInHandWhileItsInstanceDrainsIsFinished) {
     instance([](auto, auto &) { return Reply{}; });
     start();
@@ -535,5 +588,47 @@
     EXPECT_FALSE(gateway->wrongAnswer("r8"));
 }
 
+TEST_F(Path, AnAnswerReportedTwiceIsWrongOnce) {
+    for (const BuildNo build : {1, 2})
+        desk.list(instances.emplace_back(io, [](auto, auto &) { return ok(); }).id(), build);
+    desk.stage = {2, 2, Phase::onTrial, 1, Span{0}};
+    start();
+    std::vector<std::string> names;
+    for (int k = 0; names.size() < 2 && k < 64; ++k) {
+        const auto name = "r" + std::to_string(k);
+        if (says(ask("/x", "X-Request-Id: " + name + "\r\n"), "Deckcart-Build: 2")) names.push_back(name);
+    }
+    ASSERT_EQ(names.size(), 2u);
+    for (int k = 0; k < 3; ++k) EXPECT_TRUE(gateway->wrongAnswer(names[0]));
+    const auto before = gateway->counts().decisions;
+    ASSERT_TRUE(until([&] { return gateway->counts().decisions > before + 20; }));
+    EXPECT_EQ(desk.votes, 0) << "one client's word on one answer sends no build back";
+    EXPECT_TRUE(gateway->wrongAnswer(names[1]));
+    EXPECT_TRUE(until([&] { return desk.votes == 1; }));
+}
+
+// ---- tries, counted where they arrive ----
+
+TEST_F(Path, WhenAllFailsTheSocketsSeeWhatTheModuleSentAndNoMore) {
+    std::map<std::string, int> arrived;  // by the client's id of the req
+    for (int k = 0; k < 3; ++k)
+        instance([&](auto, const std::string &req) {
+            const auto at = req.find("X-Request-Id: ");
+            ++arrived[req.substr(at, req.find('\r', at) - at)];
+            return Reply{"", Then::reset};
+        });
+    document["allowed"] = {{"mostTries", 3}};
+    start();
+    constexpr int n = 100;
+    for (int k = 0; k < n; ++k)
+        EXPECT_EQ(statusOf(ask(k % 4 ? "/x" : "/once", "X-Request-Id: q" + std::to_string(k) + "\r\n")) / 100,
+                  5);
+    EXPECT_EQ(total(instances), gateway->counts().tries) << "no layer below the module sends anything again";
+    for (const auto &[req, times] : arrived) EXPECT_LE(times, 3) << req;
+    for (int k = 0; k < n; k += 4) EXPECT_LE(arrived["X-Request-Id: q" + std::to_string(k)], 1) << k;
+    // First tries, a fifth of them again, and what was saved up before.
+    EXPECT_LE(total(instances), n + n / 5 + 10u);
+}
+
 }  // namespace
 }  // namespace deckcart::test
--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -117,6 +117,11 @@
     json other = settings();
     other["limits"] = {{"reqsInHand", 10}};
     EXPECT_TRUE(sameModule(settings(), other));
+    other["upstream"]["idleMs"] = 100;
+    EXPECT_TRUE(sameModule(settings(), other));
+    other["upstream"]["connectWithinMs"] = 100;
+    EXPECT_FALSE(sameModule(settings(), other)) << "a repeat leaves time for it";
+    other = settings();
     other["release"]["spareTries"] = 7;
     EXPECT_FALSE(sameModule(settings(), other));
 }
