Peers' notes taken out: the module tells none and reads none

Evidence: policy.cpp gives out no TellPeers and passes over PeerNote (its catch-all on()); /gateway/index and /peers were read for them alone. Change: event, action, the gateway's datagrams, the settings /peers and /gateway/index with their schema and documents (both refused with their place now, tested), base64 in the adapter. A peers' note on the wire is passed over as before. No decision is touched.

--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -126,10 +126,6 @@
     Span took{};
     std::vector<double> load;
 };
-struct PeerNote {
-    int from = 0;
-    std::string bytes;
-};
 struct StageNews {
     bool answersVote = false;
     Outcome how = Outcome::ok;
@@ -153,7 +149,7 @@
     Span since{};
 };
 using Event = std::variant<Started, Stopped, ListTold, ListFailed, ReqArrived, AnswerBegan, TryEnded, ReqGone,
-                           TimerFired, ProbeEnded, PeerNote, StageNews, TallyTold, WrongReported>;
+                           TimerFired, ProbeEnded, StageNews, TallyTold, WrongReported>;
 
 // ---- what is to be done ----
 struct SendTry {
@@ -182,10 +178,6 @@
 struct CloseIdle {
     ServerId server;
 };
-struct TellPeers {
-    std::optional<int> peer;  // empty: all of them
-    std::string bytes;
-};
 struct FollowList {
     bool active = true;
 };
@@ -198,8 +190,8 @@
 struct LogLine {
     std::string words;
 };
-using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, TellPeers,
-                            FollowList, FetchList, Vote, LogLine>;
+using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, FollowList,
+                            FetchList, Vote, LogLine>;
 
 // The records of the instances that one process hosts. They share nothing.
 class Policy {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -9,12 +9,9 @@
 
 namespace deckcart {
 
-using asio::ip::udp;
-
 constexpr std::size_t kPassedKept =
-    16384;                               // answers that may be reported wrong: some seconds of a busy gateway
-constexpr std::size_t kNoteBytes = 256;  // of a peers' note: more is refused on both sides
-constexpr int kThawRounds = 200;         // loop turns at most that a standstill's finds are read in
+    16384;                        // answers that may be reported wrong: some seconds of a busy gateway
+constexpr int kThawRounds = 200;  // loop turns at most that a standstill's finds are read in
 constexpr auto kSweepEvery = std::chrono::seconds(1);
 constexpr const char *kEndHeader = "Deckcart-End", *kBuildHeader = "Deckcart-Build",
                      *kRetryHeader = "Deckcart-Retry-Ms";
@@ -163,7 +160,6 @@
         });
     startModule();
     startFeed({});
-    listenToPeers();
     sweep();
 }
 
@@ -237,7 +233,6 @@
     }
     if (sourcesMoved) startFeed({});
     if (deskMoved || (sourcesMoved && !feed)) desk->follow(true);
-    listenToPeers();
 }
 
 void Gateway::drain(std::function<void()> done) {
@@ -563,7 +558,6 @@
             },
             [&](const Probe &a) { probe(record, a); },
             [&](const CloseIdle &a) { pool.closeIdle(a.server); },
-            [&](const TellPeers &a) { tellPeers(a); },
             [&](const FollowList &a) {
                 if (record != current) return;
                 desk->follow(a.active);
@@ -734,7 +728,7 @@
     if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
 }
 
-// ---- probes, peers, lists ----
+// ---- probes, lists ----
 
 void Gateway::probe(InstanceId record, const Probe &what) {
     const auto to = parseAddress(what.server);
@@ -760,53 +754,6 @@
         }));
 }
 
-// A note: who it is from in two bytes, network order, then the module's bytes.
-void Gateway::tellPeers(const TellPeers &what) {
-    if (!notes || what.bytes.size() > kNoteBytes) return;
-    std::string bytes{char(given.index >> 8 & 0xff), char(given.index & 0xff)};
-    bytes += what.bytes;
-    for (const auto &peer : given.peers) {
-        if (what.peer && *what.peer != peer.index) continue;
-        asio::error_code ignored;  // notes may be lost; the module knows it
-        notes->send_to(asio::buffer(bytes), udp::endpoint(peer.address.address(), peer.address.port()), 0,
-                       ignored);
-    }
-}
-
-void Gateway::listenToPeers() {
-    asio::error_code fault;
-    if (!given.notes) return void(notes.reset());
-    const udp::endpoint wanted(given.notes->address(), given.notes->port());
-    if (notes && notes->local_endpoint(fault) == wanted) return;
-    notes.emplace(context);
-    notes->open(wanted.protocol(), fault);
-    if (!fault) notes->bind(wanted, fault);
-    if (!fault) notes->non_blocking(true, fault);
-    if (fault) {
-        log.warn("peers", {{"listen", format(*given.notes)}, {"fault", fault.message()}});
-        return void(notes.reset());
-    }
-    const auto receive = [this](const auto &self) -> void {
-        notes->async_receive_from(
-            asio::buffer(noteBytes), noteFrom, [this, self](asio::error_code bad, std::size_t n) {
-                if (bad == asio::error::operation_aborted || !notes) return;
-                const int from = n >= 2 ? static_cast<unsigned char>(noteBytes[0]) << 8 |
-                                              static_cast<unsigned char>(noteBytes[1])
-                                        : -1;
-                const auto known = std::ranges::find(given.peers, from, &Peer::index);
-                // Only from where that peer is said to be, and no longer than a note may be.
-                if (!bad && known != given.peers.end() && n <= kNoteBytes + 2 &&
-                    known->address.address() == noteFrom.address() &&
-                    known->address.port() == noteFrom.port())
-                    later([this, from, bytes = std::string(noteBytes.data() + 2, n - 2)] {
-                        happened(PeerNote{from, bytes});
-                    });
-                self(self);
-            });
-    };
-    receive(receive);
-}
-
 void Gateway::note(const ListTold &told_) {
     if (told_.complete) {
         std::set<ServerId> still;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -94,8 +94,6 @@
     void finish(Req &rq, const char *end, int status, Span retryIn);
     void forget(Req &rq);
     void probe(InstanceId record, const Probe &what);
-    void tellPeers(const TellPeers &what);
-    void listenToPeers();
     void sweep();
     void note(const ListTold &list);
     void startModule();
@@ -142,10 +140,6 @@
     std::unordered_map<std::string, Passed> passed;  // answers that a client may still report
     std::deque<std::string> passedOrder;
 
-    std::optional<asio::ip::udp::socket> notes;
-    std::array<char, 512> noteBytes{};
-    asio::ip::udp::endpoint noteFrom;
-
     asio::steady_timer sweeper;
     GatewayCounts counted;
     std::function<void()> drained;
--- a/src/rehearsal/day.cpp
+++ b/src/rehearsal/day.cpp
@@ -251,7 +251,6 @@
         accounts.push_back({{"name", d.accounts[k]}, {"share", d.accountShares[k]}});
     json s{{"gateway",
             {{"id", "g" + std::to_string(gateway)},
-             {"index", gateway},
              {"count", d.gatewaysTold},
              {"zone", d.zones[std::size_t(gateway) % d.zones.size()]},
              {"seed", d.seed * 1000 + std::uint64_t(gateway)}}},
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -51,7 +51,7 @@
 
     void gateway() {
         const json &from = part(doc, "gateway");
-        take(from, "id", out.id), take(from, "index", out.index);
+        take(from, "id", out.id);
         take(from, "count", out.module.gateways);
         take(doc, "zones", out.zones);
         if (std::set<std::string>(out.zones.begin(), out.zones.end()).size() != out.zones.size())
@@ -61,7 +61,6 @@
                 refuse("/gateway/zone", "is not one of /zones");
             else out.module.zone = out.zoneNo(zone->get<std::string>());
         }
-        if (out.index >= out.module.gateways) refuse("/gateway/index", "is not below /gateway/count");
     }
 
     void route(std::size_t no, const json &from) {
@@ -290,18 +289,6 @@
             take(*desk, "answerWithinMs", calls.answerWithin), take(*desk, "silentForMs", calls.silentFor);
             out.desk = calls;
         }
-        if (const auto peers = doc.find("peers"); peers != doc.end()) {
-            out.notes = address(*peers, "listen", "/peers/listen");
-            const auto &known = peers->at("known");
-            for (std::size_t k = 0; k < known.size(); ++k) {
-                const std::string at = "/peers/known/" + std::to_string(k);
-                const auto to = address(known[k], "address", at + "/address");
-                const int index = known[k].at("index").get<int>();
-                if (index == out.index) refuse(at + "/index", "is this gateway's own");
-                if (std::ranges::count(out.peers, index, &Peer::index)) refuse(at + "/index", "stands twice");
-                if (to) out.peers.push_back({index, *to});
-            }
-        }
         take(part(doc, "logs"), "reqSample", out.reqSample);
     }
 };
--- a/src/settings/orders.hpp
+++ b/src/settings/orders.hpp
@@ -45,11 +45,6 @@
     std::string probePath = "/probe";
 };
 
-struct Peer {
-    int index = 0;
-    asio::ip::tcp::endpoint address;  // of its datagrams
-};
-
 // Where the list of instances comes from. Without it, it is the desk's alone, as told.
 struct SourceOrders {
     membership::MergeRules merge;
@@ -60,7 +55,6 @@
 
 struct GatewayOrders {
     std::string id = "gateway";
-    int index = 0;
     StartValues module;  // but for the seed, which is drawn at each start
     std::vector<RouteRule> routes;
     std::vector<std::string> accounts, zones;
@@ -73,8 +67,6 @@
     UpstreamLimits upstream;
     std::optional<DeskCalls> desk;
     std::optional<SourceOrders> sources;
-    std::optional<asio::ip::tcp::endpoint> notes;  // where peers' datagrams are taken
-    std::vector<Peer> peers;
     double reqSample = 0;  // part of the reqs that are logged
 
     int zoneNo(const std::string &name) const;  // 0 for one that is not named
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -20,7 +20,6 @@
   "properties": {
     "gateway": {"type": "object", "additionalProperties": false, "required": ["id"], "properties": {
       "id": {"type": "string", "pattern": "^[A-Za-z0-9._-]{1,64}$"},
-      "index": {"type": "integer", "minimum": 0, "maximum": 65535},
       "count": {"type": "integer", "minimum": 1, "maximum": 65536},
       "zone": {"$ref": "#/definitions/word"},
       "seed": {"type": "integer", "minimum": 0}}},
@@ -110,12 +109,6 @@
       "heldAnswerBytes": {"type": "integer", "minimum": 0, "maximum": 16777216},
       "probeWithinMs": {"$ref": "#/definitions/ms"},
       "probePath": {"type": "string", "pattern": "^/[!-~]*$"}}},
-    "peers": {"type": "object", "additionalProperties": false, "required": ["listen", "known"], "properties": {
-      "listen": {"$ref": "#/definitions/address"},
-      "known": {"type": "array", "maxItems": 1024, "items": {
-        "type": "object", "additionalProperties": false, "required": ["index", "address"], "properties": {
-          "index": {"type": "integer", "minimum": 0, "maximum": 65535},
-          "address": {"$ref": "#/definitions/address"}}}}}},
     "logs": {"type": "object", "additionalProperties": false, "properties": {
       "reqSample": {"$ref": "#/definitions/part"}}}
   }
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -155,34 +155,6 @@
     return e;
 }
 
-constexpr std::string_view kDigits = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-
-std::string fromBase64(const std::string &text) {
-    std::string out;
-    unsigned bits = 0, held = 0;
-    for (const char c : text) {
-        if (c == '=') break;
-        const auto digit = kDigits.find(c);
-        if (digit == std::string_view::npos) throw BadBatch("field Blob is not base64");
-        bits = (bits << 6 | static_cast<unsigned>(digit)) & 0xffffu;
-        held += 6;
-        if (held >= 8) out += static_cast<char>(bits >> (held -= 8) & 0xffu);
-    }
-    return out;
-}
-
-std::string toBase64(const std::string &bytes) {
-    std::string out;
-    for (std::size_t at = 0; at < bytes.size(); at += 3) {
-        unsigned three = 0;
-        for (std::size_t k = 0; k < 3; ++k)
-            three = three << 8 | (at + k < bytes.size() ? static_cast<unsigned char>(bytes[at + k]) : 0u);
-        for (std::size_t k = 0; k < 4; ++k)
-            out += at + k <= bytes.size() ? kDigits[three >> (18 - 6 * k) & 63u] : '=';
-    }
-    return out;
-}
-
 template <class... F> struct Overload : F... { using F::operator()...; };
 template <class... F> Overload(F...) -> Overload<F...>;
 
@@ -243,8 +215,7 @@
         else if (kind == "STATUS_BACK")
             out.push_back(ProbeEnded{server(), outcome(event), maySpan(event, "ElapsedS"),
                                      numbers(event, "Telemetry")});
-        else if (kind == "MESSAGE")
-            out.push_back(PeerNote{may<int>(event, "From"), fromBase64(may<std::string>(event, "Blob"))});
+        else if (kind == "MESSAGE") continue;  // of peers: nothing is told to them
         else if (kind == "PROMOTION") {
             const int phase = may<int>(event, "Standing");
             if (phase < 0 || phase > 3) throw BadBatch("field Standing holds an unknown number");
@@ -290,11 +261,6 @@
                        [](const CloseIdle &a) {
                            return json{{"m", "DROP_CONNS"}, {"Instance", a.server}};
                        },
-                       [](const TellPeers &a) {
-                           json j{{"m", "SIGNAL"}, {"Blob", toBase64(a.bytes)}};
-                           j["Peer"] = a.peer ? json(*a.peer) : json(nullptr);
-                           return j;
-                       },
                        [](const FollowList &a) {
                            return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}};
                        },
--- a/tests/unit/documents_test.cpp
+++ b/tests/unit/documents_test.cpp
@@ -17,7 +17,7 @@
 
 json settings() {
     return json::parse(R"({
-      "gateway": {"id": "g1", "index": 0, "count": 3, "zone": "a"}, "zones": ["a", "b"],
+      "gateway": {"id": "g1", "count": 3, "zone": "a"}, "zones": ["a", "b"],
       "desk": {"address": "127.0.0.1:9"},
       "routes": [
         {"name": "status", "method": "GET", "pathPrefix": "/status", "effect": "retriable",
@@ -51,7 +51,7 @@
         {"/routes/0/effect", "safe", "/routes/0/effect"},
         {"/routes", json::array(), "/routes"},
         {"/gateway/zone", "c", "/gateway/zone"},
-        {"/gateway/index", 3, "/gateway/index"},
+        {"/gateway/index", 0, "/gateway/index"},  // no longer known, like the next
         {"/gateway/id", "a b", "/gateway/id"},
         {"/desk/address", "relay:x", "/desk/address"},
         {"/desk/address", "relay.example.org:80", "/desk/address"},
@@ -68,9 +68,7 @@
          "/accounts"},
         {"/limits", {{"headBytes", 10}}, "/limits/headBytes"},
         {"/limits", {{"answerMarginMs", 2000}}, "/routes/0/routeTimeoutMs"},
-        {"/peers",
-         {{"listen", "127.0.0.1:0"}, {"known", {{{"index", 0}, {"address", "127.0.0.1:1"}}}}},
-         "/peers/known/0/index"},
+        {"/peers", {{"listen", "127.0.0.1:0"}, {"known", json::array()}}, "/peers"},
         {"/sources", json::object(), nullptr},
         {"/sources", {{"deskList", false}}, "/sources"},
         {"/sources", {{"nodes", {{{"address", "relay:80"}, {"build", 1}}}}}, "/sources/nodes/0/address"},
