Events, actions, fields and settings that nothing reads are taken out

Evidence: no line of policy.cpp gives out CloseIdle, FetchList, a try's own limit or a timer's token; none reads AnswerBegan, a req's work hint or mark of repeat, a result's server, time and load, a probe's outcome and time, a tally's mean time, a report's route. The headers workHint, mark and repeat were read for those or not at all; Pool::open and Pool::idle were called by nobody. On the wire the fields are passed over; a stream's begin and a peers' note as well. The runner's auditor goes by one clock, without slack or grace.

--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -97,34 +97,21 @@
     std::string key;
     int route = 0;
     int account = 0;
-    bool repeat = false;
-    std::optional<Span> workHint;
     Span notAfter{};
 };
-struct AnswerBegan {
-    ReqId req = 0;
-    int tryNo = 0;
-};
 struct TryEnded {
     ReqId req = 0;
     int tryNo = 0;
     bool reqOver = false;
     Outcome how = Outcome::ok;
-    ServerId server;
-    Span took{};
-    std::vector<double> load;
 };
 struct ReqGone {
     ReqId req = 0;
 };
-struct TimerFired {
-    std::uint64_t token = 0;
-};
+struct TimerFired {};
 struct ProbeEnded {
     ServerId server;
-    Outcome how = Outcome::ok;
-    Span took{};
-    std::vector<double> load;
+    std::vector<double> load;  // empty: the probe has failed
 };
 struct StageNews {
     bool answersVote = false;
@@ -140,22 +127,19 @@
     int route = 0;
     int counted = 0;
     int lost = 0;
-    Span meanTook{};
     Span since{};
 };
 struct WrongReported {
     ServerId server;
-    int route = 0;
-    Span since{};
+    Span since{};  // its try was sent
 };
-using Event = std::variant<Started, Stopped, ListTold, ListFailed, ReqArrived, AnswerBegan, TryEnded, ReqGone,
-                           TimerFired, ProbeEnded, StageNews, TallyTold, WrongReported>;
+using Event = std::variant<Started, Stopped, ListTold, ListFailed, ReqArrived, TryEnded, ReqGone, TimerFired,
+                           ProbeEnded, StageNews, TallyTold, WrongReported>;
 
 // ---- what is to be done ----
 struct SendTry {
     ReqId req = 0;
     ServerId server;
-    Span limit{};  // zero: until the client gives up
 };
 struct CancelTry {
     ReqId req = 0;
@@ -170,18 +154,13 @@
 };
 struct SetTimer {
     Span after{};
-    std::uint64_t token = 0;
 };
 struct Probe {
     ServerId server;
 };
-struct CloseIdle {
-    ServerId server;
-};
 struct FollowList {
     bool active = true;
 };
-struct FetchList {};
 struct Vote {
     BuildNo build = 0;
     int step = 0;
@@ -190,8 +169,7 @@
 struct LogLine {
     std::string words;
 };
-using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, CloseIdle, FollowList,
-                            FetchList, Vote, LogLine>;
+using Action = std::variant<SendTry, CancelTry, Shed, EndErrored, SetTimer, Probe, FollowList, Vote, LogLine>;
 
 // The records of the instances that one process hosts. They share nothing.
 class Policy {
--- a/src/gateway/desk_client.cpp
+++ b/src/gateway/desk_client.cpp
@@ -133,21 +133,20 @@
 void DeskClient::follow(bool active) {
     if (watching) watching->stop(), watching = nullptr;
     if (listing) listing->stop(), listing = nullptr;
-    if (active) list(true);
+    if (active) list();
 }
-void DeskClient::fetchOnce() { list(false); }
 
 void DeskClient::lost() {
     follow(false);
     tell(ListFailed{});
 }
 
-void DeskClient::list(bool thenWatch) {
+void DeskClient::list() {
     if (!orders.desk) return;
     auto call =
         http::Fetch::start(context, orders.desk->address, request("GET", "/v1/fleet?gateway=" + orders.id),
-                           {}, orders.desk->answerWithin, [this, thenWatch](const http::Fetched &got) {
-                               if (thenWatch) listing = nullptr;
+                           {}, orders.desk->answerWithin, [this](const http::Fetched &got) {
+                               listing = nullptr;
                                try {
                                    if (!got.ok()) throw std::invalid_argument("no answer");
                                    const json said = json::parse(got.body);
@@ -155,14 +154,12 @@
                                    tellList(need<json>(said, "instances"), true);
                                    if (said.contains("stage")) tellStage(said["stage"], false, Outcome::ok);
                                    version = at;
-                                   if (thenWatch) watch();
+                                   watch();
                                } catch (const std::exception &) {
-                                   thenWatch ? lost() : tell(ListFailed{});
+                                   lost();
                                }
                            });
-    if (thenWatch) listing = call;
-    calls.push_back(call);
-    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
+    listing = call;
 }
 
 void DeskClient::watch() {
@@ -190,7 +187,7 @@
             const auto route = need<int>(row, "route");
             if (route < 0 || std::size_t(route) >= orders.routes.size()) continue;
             tell(TallyTold{need<int>(row, "build"), route, need<int>(row, "counted"), need<int>(row, "lost"),
-                           milli(need<double>(row, "meanMs")), milli(need<double>(row, "sinceMs"))});
+                           milli(need<double>(row, "sinceMs"))});
         }
     }
     version = at;  // bookmarks, and kinds that come later, only move it
@@ -225,6 +222,7 @@
                     {"build", vote.build},
                     {"step", vote.step},
                     {"verdict", nameOf(vote.verdict)}};
+    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
     calls.push_back(http::Fetch::start(
         context, orders.desk->address, head, body.dump(), within, [this](const http::Fetched &got) {
             // No answer, or a broken one: the vote may have counted.
--- a/src/gateway/desk_client.hpp
+++ b/src/gateway/desk_client.hpp
@@ -55,11 +55,10 @@
     DeskClient &operator=(const DeskClient &) = delete;
 
     void follow(bool active);
-    void fetchOnce();
     void vote(const Vote &vote, Span within);
 
   private:
-    void list(bool thenWatch);
+    void list();
     void watch();
     void took(const nlohmann::json &said);
     void tellList(const nlohmann::json &entries, bool complete);
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -34,7 +34,7 @@
     BuildNo build = 0;
     std::shared_ptr<http::ClientConnection> connection;
     std::unique_ptr<Upstream> sink;
-    Span sent{}, end{}, progress{};
+    Span sent{}, progress{};
     bool over = false, streaming = false;
     Outcome how = Outcome::ok;
     http::AnswerHead head;
@@ -344,9 +344,6 @@
     const auto account = std::ranges::find(given.accounts, text(given.headers.account));
     // One that is not named is past the end of the shares: it has none, and no excess either.
     in.account = given.accounts.empty() ? 0 : int(account - given.accounts.begin());
-    in.repeat = head.find(given.headers.repeat) != nullptr;
-    if (const auto hint = number(head.find(given.headers.workHint)); hint && *hint >= 0 && *hint < 1e9)
-        in.workHint = Span{std::llround(*hint * 1000)};
     rq.name = text(given.headers.reqId);
     if (rq.name.empty()) rq.name = given.id + "-" + std::to_string(id);
     reqs.emplace(id, std::move(made));
@@ -385,12 +382,7 @@
     if (!rq.outstanding()) forget(rq);
 }
 
-void Gateway::watchDeadline(Req &rq) {
-    Span end = rq.told;
-    for (const Try &t : rq.tries)
-        if (!t.over) end = std::min(end, t.end);
-    wakeIn(rq, end - lastSeen);
-}
+void Gateway::watchDeadline(Req &rq) { wakeIn(rq, rq.told - lastSeen); }
 
 void Gateway::wakeIn(Req &rq, Span after) {
     rq.timer.expires_after(std::max(Span{0}, after));
@@ -406,7 +398,7 @@
     Req &rq = *it->second;
     const Span at = lastSeen;
     for (std::size_t k = 0; k < rq.tries.size(); ++k)
-        if (!rq.tries[k].over && !rq.tries[k].streaming && at >= std::min(rq.tries[k].end, rq.told)) {
+        if (!rq.tries[k].over && !rq.tries[k].streaming && at >= rq.told) {
             tryEnded(id, int(k), Outcome::timeout);
             if (!reqs.contains(id)) return;
         }
@@ -550,23 +542,16 @@
             },
             [&](const SetTimer &a) {
                 const auto timer = std::make_shared<asio::steady_timer>(context, a.after);
-                timer->async_wait([this, record, token = a.token, timer,
-                                   here = std::weak_ptr(alive)](asio::error_code fault) {
-                    if (!fault && !here.expired())
-                        later([this, record, token] { happened(TimerFired{token}, record); });
+                timer->async_wait([this, record, timer, here = std::weak_ptr(alive)](asio::error_code fault) {
+                    if (!fault && !here.expired()) later([this, record] { happened(TimerFired{}, record); });
                 });
             },
             [&](const Probe &a) { probe(record, a); },
-            [&](const CloseIdle &a) { pool.closeIdle(a.server); },
             [&](const FollowList &a) {
                 if (record != current) return;
                 desk->follow(a.active);
                 if (feed && a.active) feed->tellAgain();
             },
-            [&](const FetchList &) {
-                desk->fetchOnce();
-                if (feed) feed->tellAgain();
-            },
             [&](const Vote &a) {
                 if (record != current) return;  // one vote a gateway
                 log.info("vote", {{"build", a.build}, {"step", a.step}, {"verdict", nameOf(a.verdict)}});
@@ -590,8 +575,7 @@
         Try none;
         none.server = what.server, none.over = true, none.how = how, none.sent = turn();
         rq.tries.push_back(std::move(none));
-        TryEnded end{what.req, no, rq.answered, how, what.server, Span{0}, {}};
-        happened(std::move(end), record);
+        happened(TryEnded{what.req, no, rq.answered, how}, record);
     };
     // The req is over, or bound to an answer that has begun, or its end has passed on the real clock.
     if (rq.answered || rq.streaming >= 0 || lastSeen >= rq.told) return moot(Outcome::moot);
@@ -601,7 +585,6 @@
     ++counted.tries;
     Try t;
     t.server = server, t.connection = connection, t.sent = turn(), t.progress = t.sent;
-    t.end = what.limit > Span{0} ? t.sent + what.limit : rq.told;
     if (const auto entry = list.find(server); entry != list.end()) t.build = entry->second.build;
     t.sink = std::make_unique<Upstream>(*this, rq.id, no);
 
@@ -620,10 +603,8 @@
     if (!rq.exchange->body.empty() || in.length || in.chunked) head.length = rq.exchange->body.size();
     const std::string bytes = http::write(head) + rq.exchange->body;
     Upstream *sink = t.sink.get();
-    const bool timed = what.limit > Span{0};
     rq.tries.push_back(std::move(t));
     connection->call(*to, given.upstream.connectWithin, bytes, in.method == "HEAD", sink);
-    if (timed) watchDeadline(rq);
 }
 
 void Gateway::tryEnded(ReqId id, int tryNo, Outcome how) {
@@ -647,10 +628,7 @@
         http::RequestHead head = rq.exchange->head;
         http::Fetch::start(context, *to, head, rq.exchange->body, given.upstream.stalledFor, nullptr);
     }
-    const Span took = turn() - t.sent;
-    happened(
-        TryEnded{id, tryNo, over, how, t.server, std::max(Span{0}, took), loadOf(t.head, given.headers.load)},
-        rq.record);
+    happened(TryEnded{id, tryNo, over, how}, rq.record);
     if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
 }
 
@@ -689,7 +667,6 @@
         };
         rq.exchange->begin(std::move(head));
         rq.exchange->write(std::exchange(t.held, {}));
-        later([this, id, tryNo, record = rq.record] { happened(AnswerBegan{id, tryNo}, record); });
     } else rq.exchange->write(part);
     // A reader slower than the instance holds the instance back, not this process's memory.
     if (rq.exchange->waiting() > given.door.waitingBytes) t.connection->pause();
@@ -715,16 +692,12 @@
         if (faults.answersTwice) rq.exchange->writeBehind("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         rq.answered = true, --unanswered, ++counted.completed;
         logReq(rq, "completed", t.head.status);
-        if (passed.try_emplace(rq.name, Passed{t.server, int(rq.rule), t.sent}).second)
-            passedOrder.push_back(rq.name);
+        if (passed.try_emplace(rq.name, Passed{t.server, t.sent}).second) passedOrder.push_back(rq.name);
         if (passedOrder.size() > kPassedKept) passed.erase(passedOrder.front()), passedOrder.pop_front();
     }
     const ReqId id = rq.id;
     t.held = {};
-    const Span took = turn() - t.sent;
-    happened(TryEnded{id, tryNo, true, Outcome::ok, t.server, std::max(Span{0}, took),
-                      loadOf(t.head, given.headers.load)},
-             rq.record);
+    happened(TryEnded{id, tryNo, true, Outcome::ok}, rq.record);
     if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
 }
 
@@ -732,26 +705,20 @@
 
 void Gateway::probe(InstanceId record, const Probe &what) {
     const auto to = parseAddress(what.server);
-    const Span sent = turn();
     if (!to) {
-        later([=, this] { happened(ProbeEnded{what.server, Outcome::connectFailed, Span{0}, {}}, record); });
+        later([=, this] { happened(ProbeEnded{what.server, {}}, record); });
         return;
     }
     http::RequestHead head;
     head.method = "GET", head.target = given.upstream.probePath;
     std::erase_if(probes, [](const auto &call) { return call.use_count() == 1; });
-    probes.push_back(http::Fetch::start(
-        context, *to, head, {}, given.upstream.probeWithin, [=, this](const http::Fetched &got) {
-            ++socketEvents;
-            const Outcome how = !got.inTime                               ? Outcome::timeout
-                                : got.how == http::CallEnd::connectFailed ? Outcome::connectFailed
-                                : got.how == http::CallEnd::broken        ? Outcome::reset
-                                : got.ok()                                ? Outcome::ok
-                                                                          : Outcome::error;
-            later([=, this, load = loadOf(got.head, given.headers.load)] {
-                happened(ProbeEnded{what.server, how, turn() - sent, load}, record);
-            });
-        }));
+    probes.push_back(http::Fetch::start(context, *to, head, {}, given.upstream.probeWithin,
+                                        [=, this](const http::Fetched &got) {
+                                            ++socketEvents;
+                                            later([=, this, load = loadOf(got.head, given.headers.load)] {
+                                                happened(ProbeEnded{what.server, load}, record);
+                                            });
+                                        }));
 }
 
 void Gateway::note(const ListTold &told_) {
@@ -782,7 +749,7 @@
     if (it == passed.end()) return false;
     if (std::exchange(it->second.reported, true)) return true;  // known: one answer is wrong once
     const Passed what = it->second;
-    later([this, what] { happened(WrongReported{what.server, what.route, turn() - what.sent}); });
+    later([this, what] { happened(WrongReported{what.server, turn() - what.sent}); });
     return true;
 }
 
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -133,7 +133,6 @@
 
     struct Passed {
         ServerId server;
-        int route = 0;
         Span sent{};
         bool reported = false;
     };
--- a/src/gateway/pool.cpp
+++ b/src/gateway/pool.cpp
@@ -56,15 +56,4 @@
     }
 }
 
-std::size_t Pool::open(const ServerId &server) const {
-    const auto it = places.find(server);
-    return it == places.end() ? 0 : it->second.idle.size() + it->second.busy;
-}
-
-std::size_t Pool::idle() const {
-    std::size_t n = 0;
-    for (const auto &[server, place] : places) n += place.idle.size();
-    return n;
-}
-
 }  // namespace deckcart
--- a/src/gateway/pool.hpp
+++ b/src/gateway/pool.hpp
@@ -21,8 +21,6 @@
     void give(const ServerId &server, const std::shared_ptr<http::ClientConnection> &connection, Span now);
     void closeIdle(const ServerId &server);
     void sweep(Span now);  // ends those that were idle for too long
-    std::size_t open(const ServerId &server) const;
-    std::size_t idle() const;
 
   private:
     struct Place {
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -275,7 +275,7 @@
     std::size_t counted(int route) const { return v.exposurePerRoute ? std::size_t(route) : 0; }
     const Route &route(const Req &rq) const { return v.routes.at(std::size_t(rq.in.route)); }
     void log(const std::string &words) { out.push_back(LogLine{words}); }
-    void timer() { out.push_back(SetTimer{kTick, 0}); }
+    void timer() { out.push_back(SetTimer{kTick}); }
     double usualOf(const Req &rq) const { return usual[std::size_t(rq.in.route)]; }
     bool many() const { return v.gateways >= kManyGateways; }
     double chance() { return double(rng()) / 4294967296.0; }
@@ -554,7 +554,7 @@
         s.out.insert({now, rq.in.req});
         if (cold(s)) s.coldSends.push_back(now);
         if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
-        out.push_back(SendTry{rq.in.req, s.entry.id, Span{0}});
+        out.push_back(SendTry{rq.in.req, s.entry.id});
     }
 
     void callOff(const Req &rq) {
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -119,9 +119,8 @@
         const json &from = part(doc, "headers");
         auto &h = out.headers;
         std::vector<std::pair<const char *, std::string *>> all = {
-            {"key", &h.key},     {"account", &h.account},     {"workHint", &h.workHint},
-            {"mark", &h.mark},   {"remaining", &h.remaining}, {"repeat", &h.repeat},
-            {"reqId", &h.reqId}, {"full", &h.full},           {"load", &h.load}};
+            {"key", &h.key},     {"account", &h.account}, {"remaining", &h.remaining},
+            {"reqId", &h.reqId}, {"full", &h.full},       {"load", &h.load}};
         for (std::size_t k = 0; k < all.size(); ++k) {
             take(from, all[k].first, *all[k].second);
             const std::string at = std::string("/headers/") + all[k].first;
--- a/src/settings/orders.hpp
+++ b/src/settings/orders.hpp
@@ -24,8 +24,7 @@
 
 // The names of the fields that carry what the module wants to know.
 struct HeaderNames {
-    std::string key = "X-Key", account = "X-Account", workHint = "X-Work-Ms", mark = "Idempotency-Key",
-                remaining = "X-Remaining-Ms", repeat = "X-Repeat", reqId = "X-Request-Id",
+    std::string key = "X-Key", account = "X-Account", remaining = "X-Remaining-Ms", reqId = "X-Request-Id",
                 full = "X-Instance-Full", load = "X-Load";
 };
 
--- a/src/settings/schema.cpp
+++ b/src/settings/schema.cpp
@@ -68,8 +68,7 @@
         "name": {"$ref": "#/definitions/word"}, "share": {"$ref": "#/definitions/part"}}}},
     "headers": {"type": "object", "additionalProperties": false, "properties": {
       "key": {"$ref": "#/definitions/word"}, "account": {"$ref": "#/definitions/word"},
-      "workHint": {"$ref": "#/definitions/word"}, "mark": {"$ref": "#/definitions/word"},
-      "remaining": {"$ref": "#/definitions/word"}, "repeat": {"$ref": "#/definitions/word"},
+      "remaining": {"$ref": "#/definitions/word"},
       "reqId": {"$ref": "#/definitions/word"}, "full": {"$ref": "#/definitions/word"},
       "load": {"$ref": "#/definitions/word"}}},
     "allowed": {"type": "object", "additionalProperties": false, "properties": {
--- a/src/standin/desk.cpp
+++ b/src/standin/desk.cpp
@@ -348,10 +348,10 @@
 void Desk::tally() {
     const Span at = world.clock.now();
     tallyAt = at + std::chrono::seconds(1);
-    std::map<std::pair<BuildNo, int>, std::array<double, 3>> sums;
+    std::map<std::pair<BuildNo, int>, std::array<double, 2>> sums;
     for (const auto &done : std::exchange(world.finished, {})) {
         auto &s = sums[{done.build, done.route}];
-        s[0] += 1, s[1] += done.lost, s[2] += done.lost ? 0 : milliseconds(done.took);
+        s[0] += 1, s[1] += done.lost;
     }
     json rows = json::array();
     for (const auto &[who, s] : sums)
@@ -359,7 +359,6 @@
                         {"route", who.second},
                         {"counted", int(s[0])},
                         {"lost", int(s[1])},
-                        {"meanMs", s[2] / std::max(1.0, s[0] - s[1])},
                         {"sinceMs", 500}});
     publish({{"kind", "tally"}, {"tally", std::move(rows)}}, std::chrono::milliseconds(500));
 }
--- a/src/standin/instance.cpp
+++ b/src/standin/instance.cpp
@@ -190,7 +190,7 @@
         if (!fails) ++world.effects[*mark];
         else world.marks.erase(*mark);  // nothing was done: a repeat is none
     }
-    if (world.day.tallies) world.finished.push_back({runs, job.route, fails, now - job.came});
+    if (world.day.tallies) world.finished.push_back({runs, job.route, fails});
     if (std::generate_canonical<double, 32>(chance) < answersLost) return job.exchange->abort();
     std::vector<http::Header> headers{{"X-Build", std::to_string(runs)}};
     if (fails) return answer(*job.exchange, 500, std::move(headers), "failed\n");
--- a/src/standin/instance.hpp
+++ b/src/standin/instance.hpp
@@ -30,7 +30,6 @@
         BuildNo build = 0;
         int route = 0;
         bool lost = false;
-        Span took{};
     };
     std::vector<Done> finished;          // since the platform counted last
     std::map<std::string, Span> marks;   // of deduped reqs: when each was taken up
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -197,24 +197,16 @@
                 out.push_back(ListTold{form != "INCREMENTAL", list->second});
             }
         } else if (kind == "CALL") {
-            ReqArrived a{req(),
-                         may<std::string>(event, "Affinity"),
-                         may<int>(event, "Grade"),
-                         may<int>(event, "Project"),
-                         may<bool>(event, "Resent"),
-                         {},
-                         needSpan(event, "NotAfterS")};
-            if (event.contains("WorkHintS")) a.workHint = maySpan(event, "WorkHintS");
+            ReqArrived a{req(), may<std::string>(event, "Affinity"), may<int>(event, "Grade"),
+                         may<int>(event, "Project"), needSpan(event, "NotAfterS")};
             out.push_back(std::move(a));
-        } else if (kind == "FIRST_BYTE") out.push_back(AnswerBegan{req(), may<int>(event, "SendNo")});
+        } else if (kind == "FIRST_BYTE") continue;  // a stream's end is its result
         else if (kind == "FINISHED")
-            out.push_back(TryEnded{req(), may<int>(event, "SendNo"), may<bool>(event, "Last"), outcome(event),
-                                   server(), maySpan(event, "ElapsedS"), numbers(event, "Telemetry")});
+            out.push_back(
+                TryEnded{req(), may<int>(event, "SendNo"), may<bool>(event, "Last"), outcome(event)});
         else if (kind == "EXPIRED") out.push_back(ReqGone{req()});
-        else if (kind == "WAKE") out.push_back(TimerFired{may<std::uint64_t>(event, "Handle")});
-        else if (kind == "STATUS_BACK")
-            out.push_back(ProbeEnded{server(), outcome(event), maySpan(event, "ElapsedS"),
-                                     numbers(event, "Telemetry")});
+        else if (kind == "WAKE") out.push_back(TimerFired{});
+        else if (kind == "STATUS_BACK") out.push_back(ProbeEnded{server(), numbers(event, "Telemetry")});
         else if (kind == "MESSAGE") continue;  // of peers: nothing is told to them
         else if (kind == "PROMOTION") {
             const int phase = may<int>(event, "Standing");
@@ -225,59 +217,49 @@
         } else if (kind == "TALLY")
             out.push_back(TallyTold{may<int>(event, "BuildNo"), may<int>(event, "Grade"),
                                     may<int>(event, "Many"), may<int>(event, "Lost"),
-                                    maySpan(event, "ElapsedS"), maySpan(event, "SinceS")});
-        else if (kind == "REPORTED_WRONG")
-            out.push_back(WrongReported{server(), may<int>(event, "Grade"), maySpan(event, "SinceS")});
+                                    maySpan(event, "SinceS")});
+        else if (kind == "REPORTED_WRONG") out.push_back(WrongReported{server(), maySpan(event, "SinceS")});
         else throw BadBatch("field m holds an unknown event " + kind);
     }
     return batch;
 }
 
 json write(InstanceId who, const Action &action) {
-    json out =
-        std::visit(Overload{
-                       [](const SendTry &a) {
-                           json j{{"m", "ROUTE"}, {"Req", a.req}, {"Instance", a.server}};
-                           if (a.limit != Span{0}) j["LimitS"] = seconds(a.limit);
-                           return j;
-                       },
-                       [](const CancelTry &a) {
-                           return json{{"m", "CALL_OFF"}, {"Req", a.req}, {"SendNo", a.tryNo}};
-                       },
-                       [](const Shed &a) {
-                           json j{{"m", "DENY"}, {"Req", a.req}};
-                           if (a.retryIn > Span{0}) j["RetryInS"] = seconds(a.retryIn);
-                           return j;
-                       },
-                       [](const EndErrored &a) {
-                           return json{{"m", "END_FAILED"}, {"Req", a.req}};
-                       },
-                       [](const SetTimer &a) {
-                           return json{{"m", "SLEEP"}, {"SleepForS", seconds(a.after)}, {"Handle", a.token}};
-                       },
-                       [](const Probe &a) {
-                           return json{{"m", "INSPECT"}, {"Instance", a.server}};
-                       },
-                       [](const CloseIdle &a) {
-                           return json{{"m", "DROP_CONNS"}, {"Instance", a.server}};
-                       },
-                       [](const FollowList &a) {
-                           return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}};
-                       },
-                       [](const FetchList &) {
-                           return json{{"m", "RESOLVE"}};
-                       },
-                       [](const Vote &a) {
-                           return json{{"m", "OPINION"},
-                                       {"BuildNo", a.build},
-                                       {"Step", a.step},
-                                       {"Sense", static_cast<int>(a.verdict)}};
-                       },
-                       [](const LogLine &a) {
-                           return json{{"m", "SAY_LOG"}, {"Words", a.words}};
-                       },
-                   },
-                   action);
+    json out = std::visit(Overload{
+                              [](const SendTry &a) {
+                                  return json{{"m", "ROUTE"}, {"Req", a.req}, {"Instance", a.server}};
+                              },
+                              [](const CancelTry &a) {
+                                  return json{{"m", "CALL_OFF"}, {"Req", a.req}, {"SendNo", a.tryNo}};
+                              },
+                              [](const Shed &a) {
+                                  json j{{"m", "DENY"}, {"Req", a.req}};
+                                  if (a.retryIn > Span{0}) j["RetryInS"] = seconds(a.retryIn);
+                                  return j;
+                              },
+                              [](const EndErrored &a) {
+                                  return json{{"m", "END_FAILED"}, {"Req", a.req}};
+                              },
+                              [](const SetTimer &a) {
+                                  return json{{"m", "SLEEP"}, {"SleepForS", seconds(a.after)}, {"Handle", 0}};
+                              },
+                              [](const Probe &a) {
+                                  return json{{"m", "INSPECT"}, {"Instance", a.server}};
+                              },
+                              [](const FollowList &a) {
+                                  return json{{"m", "KEEP_INFORMED"}, {"Active", a.active}};
+                              },
+                              [](const Vote &a) {
+                                  return json{{"m", "OPINION"},
+                                              {"BuildNo", a.build},
+                                              {"Step", a.step},
+                                              {"Sense", static_cast<int>(a.verdict)}};
+                              },
+                              [](const LogLine &a) {
+                                  return json{{"m", "SAY_LOG"}, {"Words", a.words}};
+                              },
+                          },
+                          action);
     out["Who"] = who;
     return out;
 }
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -121,13 +121,12 @@
             end(*a, tryNo, how, span(answer.after * (0.7 + 0.06 * (n * 7 % 10))));
         } else if (const auto *c = std::get_if<CancelTry>(&action)) {
             note("cancel req=" + std::to_string(c->req));
-            SendTry t{c->req, sentTo.at({c->req, c->tryNo}), {}};
+            SendTry t{c->req, sentTo.at({c->req, c->tryNo})};
             if (!over.count({c->req, c->tryNo})) end(t, c->tryNo, Outcome::cancelled, span(0.01));
         } else if (const auto *s = std::get_if<Shed>(&action)) final(s->req, "shed");
         else if (const auto *e = std::get_if<EndErrored>(&action)) final(e->req, "errored");
         else if (const auto *t = std::get_if<SetTimer>(&action)) {
-            const auto token = t->token;
-            due.emplace(now + t->after, [this, token] { give(TimerFired{token}); });
+            due.emplace(now + t->after, [this] { give(TimerFired{}); });
         } else if (const auto *v = std::get_if<Vote>(&action)) {
             static constexpr const char *words[] = {"none", "on", "hold", "back"};
             note(std::string("vote ") + words[static_cast<int>(v->verdict)] +
@@ -135,8 +134,8 @@
         } else if (std::get_if<FollowList>(&action)) note("follow");
         else if (const auto *p = std::get_if<Probe>(&action)) {
             note("probe server=" + p->server);
-            const ProbeEnded ended{p->server, Outcome::ok, span(0.001), {answers[p->server].load}};
-            due.emplace(now + ended.took, [this, ended] { give(ended); });
+            const ProbeEnded ended{p->server, {answers[p->server].load}};
+            due.emplace(now + span(0.001), [this, ended] { give(ended); });
         } else if (const auto *words = std::get_if<LogLine>(&action)) note("log " + words->words);
     }
     // A cold server falls over when it gets more than the multiple of what it bears, by its warmth, over the
@@ -159,10 +158,10 @@
     }
     void audit() {
         rehearsal::RuleFigures figures;
-        figures.routes = start.routes, figures.drainGrace = span(0.5), figures.spareTries = start.spareTries;
+        figures.routes = start.routes, figures.drainGrace = Span{0}, figures.spareTries = start.spareTries;
         figures.exposureSpan = start.exposureSpan, figures.keysStay = start.keysStay;
         figures.firstCap = start.exposureCaps.front(), figures.guardedStages = start.guardedStages;
-        figures.firstBuild = 1, figures.slack = span(0.02);  // the bench's slack for answers
+        figures.firstBuild = 1, figures.slack = Span{0};  // one clock: to the microsecond
         const auto found = rehearsal::audit(records, figures);
         for (const auto &b : found)
             std::cerr << "BROKEN: " << nameOf(b.rule) << ": req " << b.req << ": " << b.words << std::endl;
@@ -186,7 +185,7 @@
             --open[t.req];
             const bool first = how == Outcome::ok && !finals[t.req];
             if (first) final(t.req, "completed"), records.clients[client.at(t.req)].build = received.build;
-            const TryEnded ended{t.req, tryNo, finals[t.req] > 0, how, t.server, after, {}};
+            const TryEnded ended{t.req, tryNo, finals[t.req] > 0, how};
             give(ended);
             if (answers[t.server].twice) give(ended);
         });
@@ -239,10 +238,9 @@
         c.req = std::to_string(life) + "/" + std::to_string(id), c.route = routeOf[id], c.key = l.text("key");
         c.sent = now, c.givesUp = until;
         records.clients.push_back(c);
-        give(ReqArrived{id, l.text("key"), routeOf[id], 0, false, {}, until});
+        give(ReqArrived{id, l.text("key"), routeOf[id], 0, until});
         due.emplace(until, [this, id] {  // as a gateway does: what is still out has timed out
-            for (int k = 0; k < tries[id]; ++k)
-                end({id, sentTo.at({id, k}), {}}, k, Outcome::timeout, Span{0});
+            for (int k = 0; k < tries[id]; ++k) end({id, sentTo.at({id, k})}, k, Outcome::timeout, Span{0});
         });
     }
     std::size_t count(const Line &l) const {
@@ -313,16 +311,11 @@
         } else if (verb == "tally")
             give(TallyTold{static_cast<int>(l.number("build", 1)), static_cast<int>(l.number("route", 0)),
                            static_cast<int>(l.number("counted", 0)), static_cast<int>(l.number("lost", 0)),
-                           span(l.number("mean", 0.05)), span(1)});
-        else if (verb == "wrong") give(WrongReported{l.words.at(1), 0, span(l.number("since", 1))});
+                           span(1)});
+        else if (verb == "wrong") give(WrongReported{l.words.at(1), span(l.number("since", 1))});
         else if (verb == "ended")
-            give(TryEnded{std::stoull(l.words.at(1)),
-                          static_cast<int>(l.number("try", 0)),
-                          l.number("over", 0) > 0,
-                          kOutcomes.at(l.text("how", "ok")),
-                          l.text("server"),
-                          span(0.05),
-                          {}});
+            give(TryEnded{std::stoull(l.words.at(1)), static_cast<int>(l.number("try", 0)),
+                          l.number("over", 0) > 0, kOutcomes.at(l.text("how", "ok"))});
         else if (verb == "wait") pass(now + span(std::stod(l.words.at(1))));
         else if (verb == "mark") seen.clear();
         else if (verb == "stop") stop();
@@ -338,7 +331,7 @@
             answers[l.words.at(1)].how = Outcome::connectFailed;
             for (const auto &[which, server] : sentTo)
                 if (server == l.words.at(1) && !over.count(which))
-                    end({which.first, server, {}}, which.second, Outcome::reset, Span{0});
+                    end({which.first, server}, which.second, Outcome::reset, Span{0});
         } else if (verb == "again") {  // the stage told last, once more: with another cap, or an older one
             StageNews n = told;
             n.cap = l.number("cap", n.cap), n.step = static_cast<int>(l.number("step", n.step));
