The module holds no more after an hour of reqs, keys and addresses than before

Ruled out: reqs in hand (erased), usual times (by route). At fault: stays, servers and Arm::servers of only grew. Change: one number stands for all keys once nothing below the released build is listed; who left the list longer ago than a start takes, and has no try or count left, is forgotten. The rule on keys stands: what falls under the number is refused to earlier builds.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -90,6 +90,8 @@
     double inHand = 0;  // reqs that it holds, of all gateways, as last told
     Span inHandAt{};
     int given = 0;          // its answers among the record's `done`
+    int tried = 0;          // tries on it of reqs in hand
+    Span goneAt{};          // left the list then
     double coldChance = 0;  // rounds the broken part of what may be sent while cold
 
     bool listed() const { return entry.readiness == Readiness::live; }
@@ -236,6 +238,7 @@
     std::vector<double> recentOf;             // of these, by account that has a share
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
+    BuildNo allStay = 0;                   // all keys stay from this one on
 
     bool told = false;         // stage news has come since the start
     StageNews news, lastTold;  // the furthest stage of the newest build; what was told last, be it older
@@ -332,6 +335,11 @@
     }
     void countServers() {
         countDue = now + kCountEvery;
+        // Once no build below the released one is listed, one number stands for all the keys, or they would
+        // add up for ever. Harm: earlier machines that return unannounced get nothing until the build goes
+        // back.
+        if (v.keysStay && told && news.phase == Phase::released && oldestListed() == news.build)
+            allStay = news.build, stays.clear();
         // Here, since nobody may read them for long: with no build on trial they grew with every req.
         for (auto &queue : taken) forget(queue, now - v.exposureSpan + kTick);
         forget(pulse, now - kPulseSpan), forget(met, now - v.voteLife), forget(ends, now - kPaceSpan);
@@ -386,7 +394,7 @@
             if (!withinCap(build, rq.in.route)) return false;
         }
         const auto stay = stays.find(rq.in.key);
-        if (stay != stays.end() && build < stay->second) return false;
+        if (build < allStay || (stay != stays.end() && build < stay->second)) return false;
         return withinColdBudget(s);  // cold servers
     }
 
@@ -552,6 +560,7 @@
         if (!passes(rq, s)) return;
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
+        ++s.tried;
         if (cold(s)) s.coldSends.push_back(now);
         if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id});
@@ -583,7 +592,9 @@
         else out.push_back(EndErrored{rq.in.req});
     }
     void drop(auto it) {
-        if (!it->second.outstanding()) reqs.erase(it);
+        if (it->second.outstanding()) return;
+        for (const Try &t : it->second.tries) --t.server->tried;
+        reqs.erase(it);
     }
 
     template <class Other> void on(const Other &) {}  // notes, streams: not decided on yet; the start is done
@@ -595,7 +606,19 @@
     void on(const ListFailed &) { askAgainAt = now + kWindowSpan / 2, following = false; }
     void on(const ListTold &list) {
         for (auto &[id, s] : servers)
-            if (list.complete) s.entry.readiness = Readiness::gone;
+            if (list.complete && s.entry.readiness != Readiness::gone)
+                s.entry.readiness = Readiness::gone, s.goneAt = now;
+        // Who left long ago is forgotten, or addresses would add up; not before it would be warm again, so
+        // that what it was sent while cold still counts if it returns.
+        std::erase_if(servers, [&](const auto &one) {
+            const Server &s = one.second;
+            const auto asks = [&](const auto &rq) { return std::ranges::count(rq.second.asked, &s) > 0; };
+            return s.entry.readiness == Readiness::gone && s.tried == 0 && s.given == 0 &&
+                   now - s.goneAt > v.warmWithin + v.overloadFor + kWindowSpan &&
+                   std::ranges::none_of(reqs, asks);
+        });
+        for (Arm *arm : {&trial, &earlier, &lastEarlier})
+            std::erase_if(arm->servers, [&](const auto &one) { return !servers.contains(one.first); });
         for (const auto &e : list.entries) {
             Server &s = servers[e.id];
             if (s.entry.startedAt != e.startedAt || s.entry.build != e.build) {
@@ -605,6 +628,7 @@
             }
             if (!s.entry.id.empty() && s.entry.build != e.build)
                 s.ranBefore = s.entry.build, s.changedAt = now;
+            if (e.readiness == Readiness::gone && s.entry.readiness != Readiness::gone) s.goneAt = now;
             s.entry = e;
         }
         following = true;
@@ -703,7 +727,7 @@
                 const double gain = std::max(0.01, 1.0 / (1 + usualSeen[r]++));
                 usual[r] += gain * (took - usual[r]);
             }
-            if (v.keysStay && !rq.in.key.empty() && !rq.answered)
+            if (v.keysStay && !rq.in.key.empty() && !rq.answered && t.build > allStay)
                 stays[rq.in.key] = std::max(stays[rq.in.key], t.build);
             if (!t.cold) done.push_back({now, &s}), ++s.given;
         } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
@@ -821,7 +845,8 @@
             lastEarlier = Arm{}, met.clear(), pooledUntil = Span{0};
         }
         if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
-            std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; });
+            std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; }),
+                allStay = allStay >= n.build ? 0 : allStay;
         suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
         closeWindow();
         for (Arm *arm : {&trial, &earlier}) {  // the latest latencies stay, but for a new build
--- /dev/null
+++ b/tests/rules/memory.cpp
@@ -0,0 +1,64 @@
+// What the module holds once all reqs are over must be what it held before them, however many have come: the
+// bytes on the heap are counted beside an hour of traffic. One argument names what comes: reqs, keys, or
+// servers.
+#include <cstdlib>
+#include <deckcart/policy.hpp>
+#include <iostream>
+#include <new>
+
+static std::size_t live = 0;  // bytes; glibc tells the size of a block
+extern "C" std::size_t malloc_usable_size(void *) noexcept;
+void *operator new(std::size_t n) {
+    void *at = std::malloc(n);
+    if (!at) throw std::bad_alloc();
+    live += malloc_usable_size(at);
+    return at;
+}
+void operator delete(void *at) noexcept {
+    if (at) live -= malloc_usable_size(at);
+    std::free(at);
+}
+void operator delete(void *at, std::size_t) noexcept { operator delete(at); }
+
+using namespace deckcart;
+using namespace std::chrono_literals;
+
+int main(int argc, char **argv) {
+    const std::string what = argc > 1 ? argv[1] : "";
+    Policy policy;
+    Span now = 100s;
+    StartValues v;
+    v.routes = {{800ms, Effect::retriable, Group::all, 5s}};
+    v.accountShares = {1}, v.keysStay = true, v.exposureSpan = 4s, v.exposureCaps = {0.2},
+    v.stageShares = {0.1};
+    v.voteLife = 6s, v.overloadFor = 3s, v.warmWithin = 4s, v.gateways = what == "many" ? 99 : 3;
+    const auto give = [&](const Event &e) { return policy.decide(1, now, {e}); };
+    give(Started{v});
+    const auto list = [&](int n) {
+        ListTold told{true, {}};
+        for (int k = 0; k < 4; ++k)
+            told.entries.push_back({"s" + std::to_string(n * 4 + k), 0, 0, 2, Readiness::live, 1, {}});
+        give(told);
+    };
+    list(0);
+    give(StageNews{false, Outcome::ok, 2, 0, Phase::released, 1, 60s});
+    std::size_t before = 0;
+    constexpr int kMinutes = 60, kASecond = 20;
+    for (int second = 0; second < 60 * kMinutes; ++second) {
+        if (second % 60 == 0 && what == "servers") list(second / 60);
+        if (second == 600) before = live;
+        for (int k = 0; k < kASecond; ++k, now += Span{1000000 / kASecond}) {
+            const ReqId id = ReqId(second * kASecond + k);
+            std::vector<Action> first =
+                give(ReqArrived{id, what == "keys" ? "k" + std::to_string(id) : "k", 0, 0, now + 3s});
+            for (const auto &a : first)
+                if (std::holds_alternative<SendTry>(a)) give(TryEnded{id, 0, true, Outcome::ok});
+            give(TimerFired{});
+        }
+    }
+    now += 20s;
+    give(TimerFired{});
+    const auto grown = live > before ? live - before : 0;
+    std::cout << what << ": " << before << " bytes after ten minutes, " << grown << " more after the hour\n";
+    return grown < 4 * 1024 ? 0 : 1;
+}
