--- a/tests/path/gateway_test.cpp
+++ b/tests/path/gateway_test.cpp
@@ -607,6 +607,50 @@
     EXPECT_TRUE(until([&] { return desk.votes == 1; }));
 }
 
+// ---- a gateway that starts empty on a rough day ----
+
+TEST_F(Path, ARestartedGatewayVotesOnNothingThatItHasNotSeen) {
+    for (const BuildNo build : {1, 2})
+        desk.list(instances.emplace_back(io, [](auto, auto &) { return status(500); }).id(), build);
+    desk.stage = {2, 1, Phase::onTrial, 0.4, 30s};  // it runs for long, and nobody has voted yet
+    for (const bool saved : {false, true}) {
+        start();
+        std::vector<ListedServer> list;
+        for (std::size_t k = 0; k < instances.size(); ++k) {
+            ListedServer s;
+            s.id = instances[k].id(), s.build = BuildNo(k + 1);
+            list.push_back(s);
+        }
+        if (saved) gateway->remember(list);
+        const auto settles = [&] {
+            const auto before = gateway->counts().decisions;
+            return until([&] { return gateway->counts().decisions > before + 20; });
+        };
+        ASSERT_TRUE(settles());
+        EXPECT_EQ(desk.votes, 0) << "it has seen nothing; list saved: " << saved;
+        for (int k = 0; k < 4; ++k) EXPECT_EQ(statusOf(ask("/once")), 502) << "both builds fail alike";
+        ASSERT_TRUE(settles());
+        EXPECT_EQ(desk.votes, 0) << saved;
+        gateway.reset();
+    }
+}
+
+TEST_F(Path, ARestartedGatewayWithItsDeskAwayAnswersWithinTheFirstCap) {
+    std::vector<ListedServer> list;
+    for (const BuildNo build : {1, 2, 2, 2}) {
+        ListedServer s;
+        s.id = instances.emplace_back(io, [](auto, auto &) { return ok(); }).id(), s.build = build;
+        list.push_back(s);
+    }
+    desk.fails = true;
+    document["release"] = {{"replacedInPlace", true}, {"caps", {0.1, 0.4}}, {"shares", {0.1, 0.4}}};
+    auto read = readOrders(document);
+    gateway = std::make_unique<Gateway>(io, clock, *read.orders, 1, Log(), *parseAddress("127.0.0.1:0"));
+    gateway->remember(list);
+    for (int k = 0; k < 40; ++k) EXPECT_EQ(statusOf(ask("/x")), 200) << "hardly an earlier build is left";
+    EXPECT_LE(total(instances) - instances[0].reqs.size(), 2 + 4u) << "told nothing: spare and a tenth";
+}
+
 // ---- tries, counted where they arrive ----
 
 TEST_F(Path, WhenAllFailsTheSocketsSeeWhatTheModuleSentAndNoMore) {
