--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -328,8 +328,8 @@
         if (suspicion == Suspicion::paused) return 0;
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
-        // At once where this gateway has shed of late.
-        const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
+        // At once where this gateway has shed of late (one of many sheds too seldom to know).
+        const bool full = many() || (shedAt != Span{0} && now - shedAt < kFullFor);
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
     }
