The p95 comparison reaches back for the earlier build's answers at a late stage

Seen: late_slow fails: a build that turned three times as slow at the last stage was voted 'on'. With seven tenths of the traffic on the trial the earlier build has under 50 answers in the time of the trial's last 50, so the comparison was never made. Ruled out: eased, the pause (the earlier build is quick), least counts of the window (met).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -905,7 +905,11 @@
     std::optional<bool> slower(const Arm &base) {
         if (int(trial.slowness.size()) < kSlowLeast) return std::nullopt;
         // Of the same time: what slowed both a while ago must not stay in the older, fewer answers.
-        const Span since = (trial.slowness.end() - kSlowLeast)->first;
+        // At a late stage the earlier build has few of them: it is reached back for as many, within
+        // kSlowSpan.
+        Span since = (trial.slowness.end() - kSlowLeast)->first;
+        if (&base != &lastEarlier && int(base.slowness.size()) >= kSlowLeast)
+            since = std::max(now - kSlowSpan, std::min(since, (base.slowness.end() - kSlowLeast)->first));
         const auto ours = valuesSince(trial.slowness, since);
         const auto theirs = valuesSince(base.slowness, &base == &lastEarlier ? Span{0} : since);
         trial.slowness.clear();  // the next window of a streak is judged on answers of its own
