--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -161,7 +161,8 @@
         figures.routes = start.routes, figures.drainGrace = Span{0}, figures.spareTries = start.spareTries;
         figures.exposureSpan = start.exposureSpan, figures.keysStay = start.keysStay;
         figures.firstCap = start.exposureCaps.front(), figures.guardedStages = start.guardedStages;
-        figures.firstBuild = 1, figures.slack = Span{0};  // one clock: to the microsecond
+        figures.exposurePerRoute = start.exposurePerRoute, figures.firstBuild = 1,
+        figures.slack = Span{0};  // one clock: to the microsecond
         const auto found = rehearsal::audit(records, figures);
         for (const auto &b : found)
             std::cerr << "BROKEN: " << nameOf(b.rule) << ": req " << b.req << ": " << b.words << std::endl;
@@ -262,6 +263,7 @@
             start.mayCopy = l.number("copies", 0) > 0, start.keysStay = l.number("keysStay", 0) > 0;
             start.guardedStages = static_cast<int>(l.number("guarded", 0));
             start.replacedInPlace = l.number("inPlace", 0) > 0;
+            start.exposurePerRoute = l.number("perRoute", 0) > 0;
             start.listMustBeAsked = l.number("ask", 0) > 0, start.askWithin = span(10);
             start.routes[1].repeatWindow = span(l.number("window", 5));
             start.spareTries = l.number("spare", 2);
