--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -328,8 +328,8 @@
         if (suspicion == Suspicion::paused) return 0;
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
-        // At once where this gateway has shed of late.
-        const bool full = shedAt != Span{0} && now - shedAt < kFullFor;
+        // At once where this gateway has shed of late (one of many sheds too seldom to know).
+        const bool full = many() || (shedAt != Span{0} && now - shedAt < kFullFor);
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
     }
@@ -905,7 +905,11 @@
     std::optional<bool> slower(const Arm &base) {
         if (int(trial.slowness.size()) < kSlowLeast) return std::nullopt;
         // Of the same time: what slowed both a while ago must not stay in the older, fewer answers.
-        const Span since = (trial.slowness.end() - kSlowLeast)->first;
+        // At a late stage the earlier build has few of them: it is reached back for as many, within
+        // kSlowSpan.
+        Span since = (trial.slowness.end() - kSlowLeast)->first;
+        if (&base != &lastEarlier && int(base.slowness.size()) >= kSlowLeast)
+            since = std::max(now - kSlowSpan, std::min(since, (base.slowness.end() - kSlowLeast)->first));
         const auto ours = valuesSince(trial.slowness, since);
         const auto theirs = valuesSince(base.slowness, &base == &lastEarlier ? Span{0} : since);
         trial.slowness.clear();  // the next window of a streak is judged on answers of its own
