A build offered again under its number is believed once news can't be that late

Seen by reading, then by the last part of older_news: what was taken for overtaken news was measured by its own begin, so that a build offered again within 8 s of its withdrawal would have got no trial for ever. At fault: on(StageNews) since. Change: passed over only within 8 s of the stage that is known.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -37,7 +37,8 @@
 constexpr double kHelped = 0.4;  // part of the excess that is left when a pause has helped: most has gone
 constexpr Span kFullFor = 5s;    // the fleet counts as full for this long after a shed: some jams and pauses
 constexpr Span kPatience = 2500ms;  // 'on' 2 s after the stage's clock has started; half more as we guess it
-constexpr Span kOvertaken = 8s;     // news are late by less; a build offered again begins later than that
+constexpr Span kOvertaken =
+    8s;  // news are late by less: what still tells a passed stage then offers it again
 constexpr Span kClockLag = 1s, kMachinesLate = 8s;  // a stage's clock: after its last machine; at the latest
 constexpr double kColdMargin = 0.5;  // part of the tip multiple that is used: unequal gateways add up
 constexpr double kRetryRate = 0.2, kRetryBurst = 10;  // further tries a req, more would feed a jam; saved up
@@ -835,7 +836,7 @@
         told = true;
         // News that a later one has overtaken, as the answer to a vote does: the stage passed does not come
         // back with its cap and its streaks. Harm: a number offered again is taken for news for some seconds.
-        if (!fresh && order(n) < order(news) && now - n.since < newsBegan + kOvertaken) return;
+        if (!fresh && order(n) < order(news) && now < newsBegan + kOvertaken) return;
         news = n;
         if (!changed) return;
         newsBegan = now - n.since;
