Late results of a build sent back count for neither build of the next trial

Seen: results_of_a_trial_gone fails: failures of build 2 that came after it had gone were counted as the earlier build's beside build 3 on trial, and hid a build 3 that failed always for a window or more. Ruled out: results of a promoted build (it is the earlier one then), of the stage before (their build is the trial still). Change: what went back is remembered and left out. The runner stops and starts an instance in one round.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -244,6 +244,7 @@
     bool told = false;         // stage news has come since the start
     StageNews news, lastTold;  // the furthest stage of the newest build; what was told last, be it older
     Span newsBegan{};          // when the furthest stage began
+    BuildNo sentBack = 0;      // the last build that went back
     Span firstTold{};          // since when this gateway knows of any stage
 
     Arm trial, earlier, lastEarlier;
@@ -742,6 +743,9 @@
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
         if (!told || provesNotRun(end.how)) return;
         if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
+        // Of one that went back before this one came: neither the trial nor what it is held against. Guards
+        // against its late failures hiding the next one's. Harm: none seen.
+        if (t.build < news.build && t.build == sentBack) return;
         const bool isTrial = t.build == news.build;
         const bool failed = isFailure(end.how);
         // A server that answers nothing is a machine's trouble: its silence tells nothing of the build.
@@ -845,9 +849,11 @@
             bad = eased = false, wrong = pairsTrial = pairsEarlier = triedTrial = ownErrors = 0;
             lastEarlier = Arm{}, met.clear(), pooledUntil = Span{0};
         }
-        if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn)
-            std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; }),
-                allStay = allStay >= n.build ? 0 : allStay;
+        if (n.phase == Phase::goingBack || n.phase == Phase::withdrawn) {
+            sentBack = n.build;
+            std::erase_if(stays, [&](const auto &stay) { return stay.second >= n.build; });
+            if (allStay >= n.build) allStay = 0;
+        }
         suspicion = Suspicion::none, slowSince = clearUntil = Span{0};
         closeWindow();
         for (Arm *arm : {&trial, &earlier}) {  // the latest latencies stay, but for a new build
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -200,9 +200,12 @@
             found.push_back(due.begin()->second);
         for (const auto &what : found) what();
     }
-    void stop() {
-        give(Stopped{});
+    void stop(bool again = false) {  // in one round, where it starts again
+        start.seed += again;
+        const std::vector<Event> both{Stopped{}, Started{start}};
+        std::vector<Action> first = policy.decide(1, now, {both.begin(), both.begin() + 1 + again});
         due.clear(), ++life;
+        for (const auto &action : first) take(action);
         records.halts.push_back({0, rehearsal::Halt::killed, now, now});
     }
     void tellList() {
@@ -322,9 +325,7 @@
         else if (verb == "mark") seen.clear();
         else if (verb == "stop") stop();
         else if (verb == "restart") {  // killed: it comes back with its list and the news
-            stop();
-            start.seed += 1;
-            give(Started{start});
+            stop(true);
             tellList();
             if (!records.releases.empty()) tellNews(told);
         } else if (verb == "stall") stall(span(std::stod(l.words.at(1))));
