--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -27,7 +27,6 @@
     Handler handler;
     asio::steady_timer retry;
     std::set<ServerConnection *> open;
-    Counts counts;
     bool draining = false, accepting = false;
     std::array<char, 64 * 1024> buffer;  // shared: an idle connection holds none of its own
 };
@@ -156,7 +155,6 @@
 
     // A req that is refused at the door: the rest of what this peer sends can't be trusted to be in step.
     void refuse(int status, std::string_view words) {
-        ++door->counts.refused;
         refused = closing = true;
         AnswerHead head;
         head.status = status, head.length = words.size() + 1;
@@ -326,7 +324,7 @@
 
 void Door::Core::accept() {
     if (draining || accepting || !acceptor.is_open()) return;
-    if (open.size() >= limits.connections) return void(++counts.pauses);  // left() goes on
+    if (open.size() >= limits.connections) return;  // left() goes on
     accepting = true;
     acceptor.async_accept([self = shared_from_this()](asio::error_code fault, tcp::socket socket) {
         self->accepting = false;
@@ -336,7 +334,6 @@
             self->retry.async_wait([self](asio::error_code) { self->accept(); });
             return;
         }
-        ++self->counts.accepted;
         const auto connection = std::make_shared<ServerConnection>(self, std::move(socket));
         self->open.insert(connection.get());
         connection->start();
@@ -360,7 +357,6 @@
     core->accept();
 }
 std::size_t Door::connections() const { return core->open.size(); }
-const Door::Counts &Door::counts() const { return core->counts; }
 
 void Door::drain() {
     core->draining = true;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -61,9 +61,6 @@
 class Door {
   public:
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
-    struct Counts {
-        std::uint64_t accepted = 0, refused = 0, pauses = 0;
-    };
 
     Door(asio::io_context &context, const asio::ip::tcp::endpoint &address, DoorLimits limits,
          Handler handler);
@@ -78,7 +75,6 @@
     // Cuts everything at once.
     void close();
     std::size_t connections() const;
-    const Counts &counts() const;
 
     struct Core;
 
