One word for sheds of late, counts derived, queues trimmed once, one way to compare settings

Change: 'shed of late' has one place; whether a req still holds a server is read from the reqs instead of a count beside them; leaving the list is one step for both ways it is told; queues that each look trims are not trimmed again in it; settings that need a new module are one list of places, connectWithinMs among them; the path tests share how an entry is made. Not changed: the gateway ends tries that it has not handed over when their instance is no longer live. The module cannot see what a socket took; where the req goes then is its decision.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -91,7 +91,6 @@
     double inHand = 0;  // reqs that it holds, of all gateways, as last told
     Span inHandAt{};
     int given = 0;          // its answers among the record's `done`
-    int tried = 0;          // tries on it of reqs in hand
     Span goneAt{};          // left the list then
     double coldChance = 0;  // rounds the broken part of what may be sent while cold
 
@@ -283,6 +282,7 @@
     void timer() { out.push_back(SetTimer{kTick}); }
     double usualOf(const Req &rq) const { return usual[std::size_t(rq.in.route)]; }
     bool many() const { return v.gateways >= kManyGateways; }
+    bool shedOfLate() const { return shedAt != Span{0} && now - shedAt < kFullFor; }
     double chance() { return double(rng()) / 4294967296.0; }
     std::size_t any(std::size_t n) { return std::size_t(rng() % n); }
 
@@ -331,7 +331,7 @@
         const double machines = std::max(1.0, stageShare() * count.places);
         const double share = kHashShare * news.cap * std::min(1.0, count.ready / machines);
         // At once where this gateway has shed of late (one of many sheds too seldom to know).
-        const bool full = many() || (shedAt != Span{0} && now - shedAt < kFullFor);
+        const bool full = many() || shedOfLate();
         return eased || full ? std::min(share, count.ready / std::max(1.0, count.ready + count.others))
                              : share;
     }
@@ -344,7 +344,7 @@
             allStay = news.build, stays.clear();
         // Here, since nobody may read them for long: with no build on trial they grew with every req.
         for (auto &queue : taken) forget(queue, now - v.exposureSpan + kTick);
-        forget(pulse, now - kPulseSpan), forget(met, now - v.voteLife), forget(ends, now - kPaceSpan);
+        forget(pulse, now - kPulseSpan), forget(met, now - v.voteLife);
         count = {};
         std::vector<double> slow;
         for (const auto &[build, list] : live)
@@ -562,7 +562,6 @@
         if (!passes(rq, s)) return;
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
         s.out.insert({now, rq.in.req});
-        ++s.tried;
         if (cold(s)) s.coldSends.push_back(now);
         if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id});
@@ -594,9 +593,7 @@
         else out.push_back(EndErrored{rq.in.req});
     }
     void drop(auto it) {
-        if (it->second.outstanding()) return;
-        for (const Try &t : it->second.tries) --t.server->tried;
-        reqs.erase(it);
+        if (!it->second.outstanding()) reqs.erase(it);
     }
 
     template <class Other> void on(const Other &) {}  // notes, streams: not decided on yet; the start is done
@@ -607,17 +604,23 @@
     }
     void on(const ListFailed &) { askAgainAt = now + kWindowSpan / 2, following = false; }
     void on(const ListTold &list) {
+        const auto leaves = [&](Server &s) {
+            if (s.entry.readiness != Readiness::gone) s.entry.readiness = Readiness::gone, s.goneAt = now;
+        };
         for (auto &[id, s] : servers)
-            if (list.complete && s.entry.readiness != Readiness::gone)
-                s.entry.readiness = Readiness::gone, s.goneAt = now;
+            if (list.complete) leaves(s);
         // Who left long ago is forgotten, or addresses would add up; not before it would be warm again, so
         // that what it was sent while cold still counts if it returns.
         std::erase_if(servers, [&](const auto &one) {
             const Server &s = one.second;
-            const auto asks = [&](const auto &rq) { return std::ranges::count(rq.second.asked, &s) > 0; };
-            return s.entry.readiness == Readiness::gone && s.tried == 0 && s.given == 0 &&
+            const auto holds = [&](const auto &rq) {
+                return std::ranges::count(rq.second.asked, &s) +
+                           std::ranges::count(rq.second.tries, &s, &Try::server) >
+                       0;
+            };
+            return s.entry.readiness == Readiness::gone && s.given == 0 &&
                    now - s.goneAt > v.warmWithin + v.overloadFor + kWindowSpan &&
-                   std::ranges::none_of(reqs, asks);
+                   std::ranges::none_of(reqs, holds);
         });
         for (Arm *arm : {&trial, &earlier, &lastEarlier})
             std::erase_if(arm->servers, [&](const auto &one) { return !servers.contains(one.first); });
@@ -630,7 +633,7 @@
             }
             if (!s.entry.id.empty() && s.entry.build != e.build)
                 s.ranBefore = s.entry.build, s.changedAt = now;
-            if (e.readiness == Readiness::gone && s.entry.readiness != Readiness::gone) s.goneAt = now;
+            if (e.readiness == Readiness::gone) leaves(s);
             s.entry = e;
         }
         following = true;
@@ -876,7 +879,6 @@
     // and if the slowness then returns the build is blamed, else cleared. Covers shared stores, caches,
     // locks; a shared slowdown or burst is not cured by a pause. Harm: a good build waits if one ends then.
     void suspect() {
-        forget(pulse, now - kPulseSpan);
         if (pulse.size() < kPulseLeast || reference.size() < kPulseLeast) return;
         const double slow = quantile(valuesSince(pulse, Span{0}), 0.5) / quantile(reference, 0.5);
         // Machines replaced in place are missed until their successors are warm: that alone slows the rest.
@@ -951,7 +953,6 @@
     // vote may rest on the last vote life's few answers and lapses with them; the votes are the least count.
     // Covers errors, wrong answers, slowness. Harm: where votes needed are many but of few of the gateways.
     bool pooledDoubts() {
-        forget(met, now - v.voteLife);
         double tries = 0, evil = 0;
         for (const auto &[at, weight] : met) tries += weight == 0, evil += weight;
         if (evil >= std::max(0.01, kPooledFails * tries) && apart(evil, tries, &Arm::Cell::fails))
@@ -1013,7 +1014,7 @@
         if (suspicion != Suspicion::none || (slowSince != Span{0} && now >= clearUntil)) return;
         // Quiet is what this gateway has listened to. Guards against an 'on' of one that has started since,
         // or has seen no answer of the trial in a rough time. Harm: a restart delays its vote.
-        const bool rough = earlier.losesMany() || (shedAt != Span{0} && now - shedAt < kFullFor);
+        const bool rough = earlier.losesMany() || shedOfLate();
         const bool quiet = now - std::max({newsBegan, firstTold, lastTrialFailure}) >= kQuiet &&
                            tallySick == 0 && !(rough && met.empty());
         if (healthy >= kHealthyStreak) want(Verdict::on, "healthy");
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -319,12 +319,12 @@
 }
 
 bool sameModule(const json &a, const json &b) {
-    for (const char *name : {"gateway", "zones", "routes", "accounts", "allowed", "rules", "release"})
-        if (a.value(name, json{}) != b.value(name, json{})) return false;
-    const auto connect = [](const json &of) {
-        return of.value("/upstream/connectWithinMs"_json_pointer, json{});
-    };
-    return connect(a) == connect(b);
+    for (const char *place : {"/gateway", "/zones", "/routes", "/accounts", "/allowed", "/rules", "/release",
+                              "/upstream/connectWithinMs"}) {
+        const json::json_pointer at(place);
+        if (a.value(at, json{}) != b.value(at, json{})) return false;
+    }
+    return true;
 }
 
 }  // namespace deckcart
--- a/tests/path/bench.hpp
+++ b/tests/path/bench.hpp
@@ -96,6 +96,12 @@
     tcp::acceptor acceptor;
 };
 
+inline ListedServer listedAs(const ServerId &id, BuildNo build, Readiness readiness = Readiness::live) {
+    ListedServer s;
+    s.id = id, s.build = build, s.readiness = readiness;
+    return s;
+}
+
 // Lists what it is given, takes votes, and tells changes to whoever watches.
 class ScriptedDesk {
   public:
@@ -104,9 +110,7 @@
                [this](std::shared_ptr<http::Exchange> e) { serve(std::move(e)); }) {}
     std::string address() const { return format(door.address()); }
     void list(const ServerId &id, BuildNo build = 1, Readiness readiness = Readiness::live) {
-        ListedServer s;
-        s.id = id, s.build = build, s.readiness = readiness;
-        entries[id] = toJson(s);
+        entries[id] = toJson(listedAs(id, build, readiness));
         const json event{
             {"version", ++version}, {"kind", "instances"}, {"instances", json::array({entries[id]})}};
         for (const auto &w : watchers) w->write(event.dump() + "\n");
--- a/tests/path/gateway_test.cpp
+++ b/tests/path/gateway_test.cpp
@@ -616,11 +616,8 @@
     for (const bool saved : {false, true}) {
         start();
         std::vector<ListedServer> list;
-        for (std::size_t k = 0; k < instances.size(); ++k) {
-            ListedServer s;
-            s.id = instances[k].id(), s.build = BuildNo(k + 1);
-            list.push_back(s);
-        }
+        for (std::size_t k = 0; k < instances.size(); ++k)
+            list.push_back(listedAs(instances[k].id(), BuildNo(k + 1)));
         if (saved) gateway->remember(list);
         const auto settles = [&] {
             const auto before = gateway->counts().decisions;
@@ -637,11 +634,8 @@
 
 TEST_F(Path, ARestartedGatewayWithItsDeskAwayAnswersWithinTheFirstCap) {
     std::vector<ListedServer> list;
-    for (const BuildNo build : {1, 2, 2, 2}) {
-        ListedServer s;
-        s.id = instances.emplace_back(io, [](auto, auto &) { return ok(); }).id(), s.build = build;
-        list.push_back(s);
-    }
+    for (const BuildNo build : {1, 2, 2, 2})
+        list.push_back(listedAs(instances.emplace_back(io, [](auto, auto &) { return ok(); }).id(), build));
     desk.fails = true;
     document["release"] = {{"replacedInPlace", true}, {"caps", {0.1, 0.4}}, {"shares", {0.1, 0.4}}};
     auto read = readOrders(document);
--- a/tests/runner.cpp
+++ b/tests/runner.cpp
@@ -147,10 +147,12 @@
             return double(all.end() - std::ranges::upper_bound(all, now - start.overloadFor));
         };
         double bears = 10 * std::chrono::duration<double>(start.overloadFor).count();
+        const auto warm = [&](const ServerEntry &e) {
+            return !e.startedAt || now - *e.startedAt > start.warmWithin;
+        };
         for (const auto &[id, e] : servers)
-            if (!e.startedAt || now - *e.startedAt > start.warmWithin)
-                bears = std::max(bears, within(sends[id]));
-        if (!to.startedAt || now - *to.startedAt > start.warmWithin) return;
+            if (warm(e)) bears = std::max(bears, within(sends[id]));
+        if (warm(to)) return;
         const double age = std::chrono::duration<double>(now - *to.startedAt) / start.warmWithin;
         const double warmth = start.coldFrom + (1 - start.coldFrom) * age;
         if (within(times) > start.tipMultiple * warmth * bears + 2)
