A gateway's ways in and out become four interfaces; HTTP stands behind them

Need: the platform's protocol has to be one more way for a req to enter and leave the same Gateway. A req taken, a call to an instance with its probes, list and votes, and the listening side become src/gateway/ways.hpp; HTTP's stand in http_ways.cpp.

--- a/src/gateway/desk_client.hpp
+++ b/src/gateway/desk_client.hpp
@@ -8,6 +8,7 @@
 
 #include "../http/fetch.hpp"
 #include "../settings/orders.hpp"
+#include "ways.hpp"
 
 namespace deckcart {
 
@@ -45,17 +46,17 @@
 const char *nameOf(Phase phase);
 std::optional<Verdict> verdictNamed(const std::string &name);
 
-class DeskClient {
+class DeskClient : public Desk {
   public:
     using Tell = std::function<void(Event)>;
     using Now = std::function<Span()>;
     DeskClient(asio::io_context &context, const GatewayOrders &orders, Now now, Tell tell);
-    ~DeskClient();
+    ~DeskClient() override;
     DeskClient(const DeskClient &) = delete;
     DeskClient &operator=(const DeskClient &) = delete;
 
-    void follow(bool active);
-    void vote(const Vote &vote, Span within);
+    void follow(bool active) override;
+    void vote(const Vote &vote, Span within) override;
 
   private:
     void list();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,28 +1,22 @@
 #include "gateway.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 
-#include "../base/address.hpp"
 #include "../membership/restart.hpp"
+#include "http_ways.hpp"
 
 namespace deckcart {
 
-constexpr std::size_t kPassedKept =
-    16384;                        // answers that may be reported wrong: some seconds of a busy gateway
 constexpr int kThawRounds = 200;  // loop turns at most that a standstill's finds are read in
+constexpr Span kTurnedAwayFor = std::chrono::seconds(1);  // of one over the bound of reqs in hand
 constexpr auto kSweepEvery = std::chrono::seconds(1);
-constexpr const char *kEndHeader = "Deckcart-End", *kBuildHeader = "Deckcart-Build",
-                     *kRetryHeader = "Deckcart-Retry-Ms";
 
-// One try: the sink of its call, with what of the answer is held back.
-class Gateway::Upstream : public http::CallSink {
+// What the call of one try tells.
+class Gateway::Sink : public CallOwner {
   public:
-    Upstream(Gateway &of, ReqId req, int no) : gateway(of), id(req), tryNo(no) {}
-    void onAnswerHead(const http::AnswerHead &head) override;
-    void onAnswerBody(std::string_view part) override;
-    void onCallEnd(http::CallEnd how) override;
+    Sink(Gateway &of, ReqId req, int no) : gateway(of), id(req), tryNo(no) {}
+    void onAnswer(std::string_view part) override;
+    void onCallEnd(Outcome how) override;
 
     Gateway &gateway;
     ReqId id;
@@ -32,12 +26,11 @@
 struct Gateway::Try {
     ServerId server;
     BuildNo build = 0;
-    std::shared_ptr<http::ClientConnection> connection;
-    std::unique_ptr<Upstream> sink;
+    std::shared_ptr<Call> call;
+    std::unique_ptr<Sink> sink;
     Span sent{}, progress{};
     bool over = false, streaming = false;
     Outcome how = Outcome::ok;
-    http::AnswerHead head;
     std::string held;
 };
 
@@ -45,8 +38,7 @@
     Req(asio::io_context &io) : timer(io) {}
     ReqId id = 0;
     InstanceId record = 0;
-    std::shared_ptr<http::Exchange> exchange;
-    std::size_t rule = 0;
+    std::shared_ptr<TakenReq> taken;
     std::string name;                  // the client's own id of it
     Span came{}, clientEnd{}, told{};  // told: the end that the module works to
     std::vector<Try> tries;
@@ -61,29 +53,6 @@
 
 namespace {
 
-std::optional<double> number(const std::string *text) {
-    if (!text) return std::nullopt;
-    double value = 0;
-    const auto [end, fault] = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (fault != std::errc{} || end != text->data() + text->size() || !std::isfinite(value))
-        return std::nullopt;
-    return value;
-}
-
-std::vector<double> loadOf(const http::Head &head, const std::string &name) {
-    std::vector<double> load;
-    const std::string *text = head.find(name);
-    const char *at = text ? text->data() : nullptr, *end = text ? at + text->size() : nullptr;
-    while (at != end && load.size() < 4) {
-        while (at != end && (*at == ' ' || *at == ',')) ++at;
-        double value = 0;
-        const auto [next, fault] = std::from_chars(at, end, value);
-        if (fault != std::errc{}) break;
-        load.push_back(value), at = next;
-    }
-    return load;
-}
-
 const char *nameOf(Outcome how) {
     switch (how) {
     case Outcome::ok: return "ok";
@@ -105,59 +74,44 @@
 
 // ---- the calls to instances ----
 
-void Gateway::Upstream::onAnswerHead(const http::AnswerHead &head) {
-    const auto it = gateway.reqs.find(id);
-    if (it == gateway.reqs.end()) return;
-    Try &t = it->second->tries[std::size_t(tryNo)];
-    t.head = head, t.progress = gateway.turn();
-}
-
-void Gateway::Upstream::onAnswerBody(std::string_view part) {
+void Gateway::Sink::onAnswer(std::string_view part) {
     if (const auto it = gateway.reqs.find(id); it != gateway.reqs.end())
         gateway.pass(*it->second, tryNo, part);
 }
 
-void Gateway::Upstream::onCallEnd(http::CallEnd how) {
+void Gateway::Sink::onCallEnd(Outcome how) {
     gateway.turn();
     ++gateway.socketEvents;
     const auto it = gateway.reqs.find(id);
     if (it == gateway.reqs.end()) return;
-    Req &rq = *it->second;
-    Try &t = rq.tries[std::size_t(tryNo)];
-    if (how == http::CallEnd::complete) {
-        const bool full = t.head.status == 503 && t.head.find(gateway.given.headers.full);
-        if (t.head.status < 500) return gateway.complete(rq, tryNo);
-        return gateway.later([g = &gateway, req = id, no = tryNo, full] {
-            g->tryEnded(req, no, full ? Outcome::full : Outcome::error);
-        });
-    }
-    // Whether it may have run is told by the bytes that were handed over. An idle connection that closes as
-    // the req goes out has taken them: it may have run.
-    const bool none = how == http::CallEnd::connectFailed || !t.connection->handedOver();
-    const Outcome outcome = none                            ? Outcome::connectFailed
-                            : how == http::CallEnd::garbage ? Outcome::error
-                                                            : Outcome::reset;
-    gateway.later([g = &gateway, req = id, no = tryNo, outcome] { g->tryEnded(req, no, outcome); });
+    if (how == Outcome::ok) return gateway.complete(*it->second, tryNo);
+    gateway.later([g = &gateway, req = id, no = tryNo, how] { g->tryEnded(req, no, how); });
 }
 
 // ---- start and end ----
 
 Gateway::Gateway(asio::io_context &io, const Clock &time, GatewayOrders with, std::uint64_t seeded, Log to,
                  const asio::ip::tcp::endpoint &listen, ShellFaults wrong)
+    : Gateway(io, time, std::move(with), seeded, std::move(to), HttpWays(io, listen), wrong) {}
+
+Gateway::Gateway(asio::io_context &io, const Clock &time, GatewayOrders with, std::uint64_t seeded, Log to,
+                 const Ways &ways, ShellFaults wrong)
     : context(io), clock(time), given(std::move(with)), seed(seeded), log(std::move(to)), faults(wrong),
-      chance(seeded), nextReq((seeded & 0xffffff) << 24), lastSeen(time.now()), pool(io, given), sweeper(io),
-      door(io, listen, given.door, [this](std::shared_ptr<http::Exchange> e) { arrived(std::move(e)); }) {
-    desk = std::make_unique<DeskClient>(
-        context, given, [this] { return turn(); },
-        [this](Event event) {
-            ++socketEvents;
-            later([this, event = std::move(event)] {
-                const auto *toldNow = std::get_if<ListTold>(&event);
-                if (toldNow && feed) return feed->deskTold(*toldNow);
-                if (std::holds_alternative<ListFailed>(event) && feed) feed->deskFailed();
-                happened(event);
-            });
-        });
+      chance(seeded), nextReq((seeded & 0xffffff) << 24), lastSeen(time.now()),
+      upstreams(ways.upstreams(given)), sweeper(io),
+      front(ways.front(given, {[this](std::shared_ptr<TakenReq> taken) { arrived(std::move(taken)); },
+                               [this] { ++counted.unrouted; }})) {
+    desk = ways.desk(given, {[this] { return turn(); },
+                             [this](Event event) {
+                                 ++socketEvents;
+                                 later([this, event = std::move(event)] {
+                                     const auto *toldNow = std::get_if<ListTold>(&event);
+                                     if (toldNow && feed) return feed->deskTold(*toldNow);
+                                     if (std::holds_alternative<ListFailed>(event) && feed)
+                                         feed->deskFailed();
+                                     happened(event);
+                                 });
+                             }});
     startModule();
     startFeed({});
     sweep();
@@ -165,11 +119,10 @@
 
 Gateway::~Gateway() {
     *alive = false;
-    for (const auto &call : probes) call->stop();
     for (auto &[id, rq] : reqs) {
-        rq->exchange->onGone = nullptr, rq->exchange->onDrained = nullptr;
+        rq->taken->onGone = nullptr, rq->taken->onDrained = nullptr;
         for (Try &t : rq->tries)
-            if (!t.over) t.connection->drop();
+            if (!t.over) t.call->release(lastSeen);
     }
 }
 
@@ -218,7 +171,7 @@
                            (orders.desk && orders.desk->address != given.desk->address);
     // A req in hand keeps its rule's number: rules only change with the module, which then starts anew.
     given = std::move(orders);
-    door.limit(given.door);
+    front->limit();
     if (newModule) {
         const InstanceId before = current;
         startModule();
@@ -237,7 +190,7 @@
 
 void Gateway::drain(std::function<void()> done) {
     drained = std::move(done);
-    door.drain();
+    front->drain();
     if (unanswered == 0 && drained) asio::post(context, std::exchange(drained, nullptr));
 }
 
@@ -260,7 +213,7 @@
             if (!rq->answered && rq->streaming < 0 && real >= rq->told) overdue.push_back(id);
         for (const ReqId id : overdue) {
             ++counted.overdue;
-            finish(*reqs.at(id), "errored", 504, Span{0});
+            finish(*reqs.at(id), "errored", true, Span{0});
             later([this, id] { clientGone(id); });
         }
         thawSoon(0);
@@ -291,72 +244,41 @@
 
 // ---- reqs from clients ----
 
-void Gateway::arrived(std::shared_ptr<http::Exchange> exchange) {
+void Gateway::arrived(std::shared_ptr<TakenReq> taken) {
     turn();
     ++socketEvents;
-    const auto &head = exchange->head;
-    const std::string path = head.target.substr(0, head.target.find('?'));
-    std::size_t rule = 0;
-    while (rule < given.routes.size() &&
-           !((given.routes[rule].method.empty() || given.routes[rule].method == head.method) &&
-             path.starts_with(given.routes[rule].pathPrefix)))
-        ++rule;
-    const auto refuse = [&](int status, const char *end, const char *words, std::vector<http::Header> more) {
-        http::AnswerHead answer;
-        answer.status = status, answer.headers = std::move(more);
-        answer.headers.insert(answer.headers.end(), {{kEndHeader, end}, {"Content-Type", "text/plain"}});
-        exchange->answer(std::move(answer), words);
-    };
-    if (given.routes.empty()) return refuse(503, "shed", "no settings yet\n", {{"Retry-After", "1"}});
-    if (rule == given.routes.size()) {
-        ++counted.unrouted;
-        return refuse(404, "errored", "no route takes this\n", {});
-    }
     if (unanswered >= given.reqsInHand) {
         ++counted.turnedAway;
-        return refuse(503, "shed", "too many reqs in hand\n", {{"Retry-After", "1"}});
+        return taken->shed(taken->facts.name, kTurnedAwayFor);
     }
     // What is read after a standstill came at some time during it: the earliest is taken, as its client may
     // wait since.
     const Span came = frozen ? frozenAt : lastSeen;
-    Span most = given.routes[rule].routeTimeout;
-    if (const auto left = number(head.find(given.headers.remaining)); left && *left >= 0)
-        most = std::min(most, Span{std::llround(std::min(*left, 1e9) * 1000)});
     ++unanswered;  // in hand from here on
-    later([this, exchange = std::move(exchange), rule, came, most] {
-        take(exchange, rule, came, came + most);
-    });
+    later([this, taken = std::move(taken), came] { take(taken, came); });
 }
 
-void Gateway::take(std::shared_ptr<http::Exchange> exchange, std::size_t rule, Span came, Span clientEnd) {
+void Gateway::take(std::shared_ptr<TakenReq> taken, Span came) {
     const ReqId id = ++nextReq & ((ReqId{1} << 52) - 1);
     auto made = std::make_unique<Req>(context);
     Req &rq = *made;
-    rq.id = id, rq.record = current, rq.exchange = std::move(exchange), rq.rule = rule;
-    rq.came = came, rq.clientEnd = clientEnd, rq.told = clientEnd - given.answerMargin;
-    const auto &head = rq.exchange->head;
-    const auto text = [&](const std::string &name) {
-        const std::string *found = head.find(name);
-        return found ? *found : std::string{};
-    };
-    ReqArrived in;
-    in.req = id, in.key = text(given.headers.key), in.route = int(rule), in.notAfter = rq.told;
-    const auto account = std::ranges::find(given.accounts, text(given.headers.account));
-    // One that is not named is past the end of the shares: it has none, and no excess either.
-    in.account = given.accounts.empty() ? 0 : int(account - given.accounts.begin());
-    rq.name = text(given.headers.reqId);
+    rq.id = id, rq.record = current, rq.taken = std::move(taken);
+    const ReqFacts &facts = rq.taken->facts;
+    rq.came = came, rq.clientEnd = came + facts.wait, rq.told = rq.clientEnd - given.answerMargin;
+    ReqArrived in{id, facts.key, int(facts.route), facts.account, rq.told};
+    rq.name = facts.name;
     if (rq.name.empty()) rq.name = given.id + "-" + std::to_string(id);
     reqs.emplace(id, std::move(made));
     ++records[current], ++counted.taken;
-    if (!rq.exchange->open()) {  // its client left while the clock stood
+    if (!rq.taken->open()) {  // its client left while the clock stood
         rq.answered = true, --unanswered, ++counted.gone;
         return forget(rq);
     }
     if (lastSeen >= rq.told) {  // nothing was sent for it: saying so lets the client come back
-        finish(rq, "shed", 503, given.module.longestRetryAfter);
+        finish(rq, "shed", false, given.module.longestRetryAfter);
         return forget(rq);
     }
-    rq.exchange->onGone = [this, id] {
+    rq.taken->onGone = [this, id] {
         turn();
         ++socketEvents;
         later([this, id] { clientGone(id); });
@@ -371,7 +293,7 @@
     Req &rq = *it->second;
     if (!rq.answered) {
         rq.answered = true, --unanswered, ++counted.gone;
-        logReq(rq, "gone", 0);
+        logReq(rq, "gone");
     }
     happened(ReqGone{id}, rq.record);
     // A stream has no reader any more; other tries end by the module's word, or by their time.
@@ -408,33 +330,23 @@
     if (at < rq.told + given.answerMargin / 2) return wakeIn(rq, rq.told + given.answerMargin / 2 - at);
     // Guards the client against a module that holds a req too long: it never should.
     ++counted.overdue;
-    finish(rq, "errored", 504, Span{0});
+    finish(rq, "errored", true, Span{0});
     clientGone(id);
 }
 
-void Gateway::finish(Req &rq, const char *end, int status, Span retryIn) {
+void Gateway::finish(Req &rq, const char *end, bool late, Span retryIn) {
     if (rq.answered) return;
     rq.answered = true, --unanswered;
     const bool shed = end[0] == 's';
     ++(shed ? counted.shed : counted.errored);
-    if (rq.streaming >= 0) {
-        rq.exchange->abort();
-    } else {
-        http::AnswerHead answer;
-        answer.status = status;
-        answer.headers = {{kEndHeader, end}, {given.headers.reqId, rq.name}, {"Content-Type", "text/plain"}};
-        if (shed) {
-            const auto ms = std::max<std::int64_t>(retryIn.count() / 1000, 0);
-            answer.headers.push_back({"Retry-After", std::to_string((ms + 999) / 1000)});
-            answer.headers.push_back({kRetryHeader, std::to_string(ms)});
-        }
-        rq.exchange->answer(std::move(answer), std::string(end) + "\n");
-    }
-    logReq(rq, end, status);
+    if (rq.streaming >= 0) rq.taken->abort();
+    else if (shed) rq.taken->shed(rq.name, retryIn);
+    else rq.taken->errored(rq.name, late);
+    logReq(rq, end);
     if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
 }
 
-void Gateway::logReq(const Req &rq, const char *end, int status) {
+void Gateway::logReq(const Req &rq, const char *end) {
     if (!log.on() || given.reqSample <= 0 || std::generate_canonical<double, 32>(chance) >= given.reqSample)
         return;
     nlohmann::json tries = nlohmann::json::array();
@@ -442,9 +354,8 @@
         tries.push_back(
             {{"instance", t.server}, {"build", t.build}, {"outcome", t.over ? nameOf(t.how) : "out"}});
     log.info("req", {{"req", rq.name},
-                     {"route", given.routes[rq.rule].name},
+                     {"route", given.routes[rq.taken->facts.route].name},
                      {"end", end},
-                     {"status", status},
                      {"tries", std::move(tries)},
                      {"ms", milliseconds(lastSeen - rq.came)}});
 }
@@ -452,7 +363,7 @@
 void Gateway::forget(Req &rq) {
     if (rq.outstanding() || !rq.answered) return;
     const InstanceId record = rq.record;
-    rq.exchange->onGone = nullptr, rq.exchange->onDrained = nullptr;
+    rq.taken->onGone = nullptr, rq.taken->onDrained = nullptr;
     reqs.erase(rq.id);
     if (--records[record] == 0 && record != current) records.erase(record), happened(Stopped{}, record);
     if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
@@ -461,6 +372,7 @@
 // ---- events in, actions out ----
 
 void Gateway::happened(Event event) {
+    std::optional<BuildNo> lower;  // its cap has been lowered
     if (const auto *l = std::get_if<ListTold>(&event)) note(*l);
     if (const auto *s = std::get_if<StageNews>(&event); s && s->how == Outcome::ok) {
         const ToldStage now{s->build, s->step, s->phase, s->cap, s->since};
@@ -468,23 +380,30 @@
             log.info(
                 "stage",
                 {{"build", now.build}, {"step", now.step}, {"phase", nameOf(now.phase)}, {"cap", now.cap}});
+        const bool lowered = told && told->build == now.build && now.cap < told->cap;
         told = now;
+        if (lowered) lower = now.build;
     }
     for (const auto &[record, n] : records) queue.emplace_back(record, event);
     decide();
-    if (std::holds_alternative<ListTold>(event)) endUnsent();
+    if (std::holds_alternative<ListTold>(event))
+        endUnsent([this](const Try &t) {
+            const auto entry = list.find(t.server);
+            return entry != list.end() && entry->second.readiness == Readiness::live &&
+                   entry->second.build == t.build;
+        });
+    if (lower) endUnsent([lower](const Try &t) { return t.build != *lower; });
 }
 
-// A try that is still being connected when its instance is told to drain would be new there: it ends as one
-// that could not be connected, and where the req goes then is the module's.
-void Gateway::endUnsent() {
+// A try that is still on its way when its instance is told to drain, to run another build, or its build to
+// have a lower cap, would break what has just been told: it ends as one that could not be connected, and
+// where the req goes then is the module's.
+void Gateway::endUnsent(std::function<bool(const Try &)> stays) {
     std::vector<std::pair<ReqId, int>> unsent;
     for (const auto &[id, rq] : reqs)
         for (std::size_t k = 0; k < rq->tries.size(); ++k) {
             const Try &t = rq->tries[k];
-            const auto entry = list.find(t.server);
-            const bool stays = entry != list.end() && entry->second.readiness == Readiness::live;
-            if (!t.over && !stays && !t.connection->handedOver()) unsent.push_back({id, int(k)});
+            if (!t.over && !stays(t) && !t.call->handedOver()) unsent.push_back({id, int(k)});
         }
     for (const auto &[id, no] : unsent) tryEnded(id, no, Outcome::connectFailed);
 }
@@ -528,7 +447,7 @@
             [&](const Shed &a) {
                 const auto it = reqs.find(a.req);
                 if (it == reqs.end()) return;
-                finish(*it->second, "shed", 503, a.retryIn);
+                finish(*it->second, "shed", false, a.retryIn);
                 forget(*it->second);
             },
             [&](const EndErrored &a) {
@@ -537,7 +456,7 @@
                 const auto &tries = it->second->tries;
                 const bool late = !tries.empty() && (tries.back().how == Outcome::timeout ||
                                                      tries.back().how == Outcome::cancelled);
-                finish(*it->second, "errored", late ? 504 : 502, Span{0});
+                finish(*it->second, "errored", late, Span{0});
                 forget(*it->second);
             },
             [&](const SetTimer &a) {
@@ -579,32 +498,17 @@
     };
     // The req is over, or bound to an answer that has begun, or its end has passed on the real clock.
     if (rq.answered || rq.streaming >= 0 || lastSeen >= rq.told) return moot(Outcome::moot);
-    const auto to = parseAddress(server);
-    const auto connection = to ? pool.take(server) : nullptr;
-    if (!connection) return moot(Outcome::connectFailed);  // no address, or its connections are all in use
+    const auto call = upstreams->take(server);
+    if (!call) return moot(Outcome::connectFailed);  // no address, or its connections are all in use
     ++counted.tries;
     Try t;
-    t.server = server, t.connection = connection, t.sent = turn(), t.progress = t.sent;
+    t.server = server, t.call = call, t.sent = turn(), t.progress = t.sent;
     if (const auto entry = list.find(server); entry != list.end()) t.build = entry->second.build;
-    t.sink = std::make_unique<Upstream>(*this, rq.id, no);
-
-    const auto &in = rq.exchange->head;
-    http::RequestHead head;
-    head.method = in.method, head.target = in.target;
-    head.headers.reserve(in.headers.size() + 3);
-    for (const auto &h : in.headers)
-        if (http::travels(in, h.first) && !http::sameName(h.first, given.headers.remaining))
-            head.headers.push_back(h);
-    if (!in.find(given.headers.reqId)) head.headers.push_back({given.headers.reqId, rq.name});
-    // What is left of the client's wait, as it is now.
-    head.headers.push_back(
-        {given.headers.remaining, std::to_string((rq.clientEnd - lastSeen).count() / 1000)});
-    head.headers.push_back({"Via", "1.1 deckcart"});
-    if (!rq.exchange->body.empty() || in.length || in.chunked) head.length = rq.exchange->body.size();
-    const std::string bytes = http::write(head) + rq.exchange->body;
-    Upstream *sink = t.sink.get();
+    t.sink = std::make_unique<Sink>(*this, rq.id, no);
+    Sink *sink = t.sink.get();
+    const BuildNo build = t.build;
     rq.tries.push_back(std::move(t));
-    connection->call(*to, given.upstream.connectWithin, bytes, in.method == "HEAD", sink);
+    call->start(*rq.taken, rq.name, rq.clientEnd - lastSeen, build, sink);
 }
 
 void Gateway::tryEnded(ReqId id, int tryNo, Outcome how) {
@@ -615,39 +519,29 @@
     if (t.over) return;
     t.over = true, t.how = how;
     // Nothing may come of a try whose outcome has been told: a connection in the middle of one is closed.
-    if (!t.connection->reusable()) t.connection->drop();
-    pool.give(t.server, t.connection, lastSeen);
+    t.call->release(lastSeen);
     t.held.clear();
     bool over = rq.answered;
     if (rq.streaming == tryNo && !rq.answered) {
         // The answer broke off in the middle: only a cut connection tells the client.
-        finish(rq, "errored", 502, Span{0});
+        finish(rq, "errored", false, Span{0});
         over = true;
     }
-    if (const auto to = parseAddress(t.server); faults.repeatsNonRetriable && how == Outcome::reset && to) {
-        http::RequestHead head = rq.exchange->head;
-        http::Fetch::start(context, *to, head, rq.exchange->body, given.upstream.stalledFor, nullptr);
-    }
+    if (faults.repeatsNonRetriable && how == Outcome::reset)
+        if (const auto again = upstreams->take(t.server)) {
+            again->start(*rq.taken, rq.name, given.upstream.stalledFor, t.build, &nobody);
+            repeats.push_back(again);
+        }
     happened(TryEnded{id, tryNo, over, how}, rq.record);
     if (const auto left = reqs.find(id); left != reqs.end()) forget(*left->second);
 }
 
-// The head of an instance's answer as the client gets it.
-http::AnswerHead Gateway::passedHead(const Try &t) {
-    http::AnswerHead head = t.head;
-    std::erase_if(head.headers, [&](const http::Header &h) { return !http::travels(t.head, h.first); });
-    head.headers.push_back({kEndHeader, "completed"});
-    head.headers.push_back({kBuildHeader, std::to_string(t.build)});
-    return head;
-}
-
 // A part of an answer: held back while it is short enough to be passed on whole, else streamed as it comes.
 void Gateway::pass(Req &rq, int tryNo, std::string_view part) {
     turn();
     ++socketEvents;
     Try &t = rq.tries[std::size_t(tryNo)];
     t.progress = lastSeen;
-    if (t.head.status >= 500) return;  // an error's body goes nowhere: the req may still be done elsewhere
     if (!t.streaming) {
         t.held.append(part);
         if (t.held.size() <= given.upstream.heldAnswerBytes || rq.answered || rq.streaming >= 0) {
@@ -656,44 +550,34 @@
         }
         rq.streaming = tryNo, t.streaming = true;
         rq.timer.cancel();
-        http::AnswerHead head = passedHead(t);
-        head.chunked = !head.length;
-        const ReqId id = rq.id;
-        rq.exchange->onDrained = [this, id, tryNo] {
+        rq.taken->onDrained = [this, id = rq.id, tryNo] {
             const auto it = reqs.find(id);
             if (it == reqs.end()) return;
             Try &paused = it->second->tries[std::size_t(tryNo)];
-            if (!paused.over) paused.progress = turn(), paused.connection->resume();
+            if (!paused.over) paused.progress = turn(), paused.call->resume();
         };
-        rq.exchange->begin(std::move(head));
-        rq.exchange->write(std::exchange(t.held, {}));
-    } else rq.exchange->write(part);
+        rq.taken->begin(*t.call);
+        rq.taken->write(std::exchange(t.held, {}));
+    } else rq.taken->write(part);
     // A reader slower than the instance holds the instance back, not this process's memory.
-    if (rq.exchange->waiting() > given.door.waitingBytes) t.connection->pause();
+    if (rq.taken->waiting() > given.door.waitingBytes) t.call->pause();
 }
 
 void Gateway::complete(Req &rq, int tryNo) {
     Try &t = rq.tries[std::size_t(tryNo)];
     if (t.over) return;
     t.over = true, t.how = Outcome::ok;
-    pool.give(t.server, t.connection, lastSeen);
+    t.call->release(lastSeen);
     const bool first = !rq.answered && (rq.streaming < 0 || rq.streaming == tryNo);
     if (first) {
-        if (rq.streaming == tryNo) rq.exchange->end();
-        else {
-            http::AnswerHead head = passedHead(t);
-            if (rq.exchange->head.method == "HEAD" && t.head.length) {
-                const auto stated = t.head.length;
-                head.length = stated;
-                rq.exchange->begin(std::move(head));
-                rq.exchange->end();
-            } else rq.exchange->answer(std::move(head), t.held);
-        }
-        if (faults.answersTwice) rq.exchange->writeBehind("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        if (rq.streaming == tryNo) rq.taken->end();
+        else rq.taken->completed(*t.call, t.held);
+        if (faults.answersTwice) rq.taken->answerTwice();
         rq.answered = true, --unanswered, ++counted.completed;
-        logReq(rq, "completed", t.head.status);
-        if (passed.try_emplace(rq.name, Passed{t.server, t.sent}).second) passedOrder.push_back(rq.name);
-        if (passedOrder.size() > kPassedKept) passed.erase(passedOrder.front()), passedOrder.pop_front();
+        logReq(rq, "completed");
+        if (given.passedKept > 0 && passed.try_emplace(rq.name, Passed{t.server, t.sent}).second)
+            passedOrder.push_back(rq.name);
+        if (passedOrder.size() > given.passedKept) passed.erase(passedOrder.front()), passedOrder.pop_front();
     }
     const ReqId id = rq.id;
     t.held = {};
@@ -704,21 +588,12 @@
 // ---- probes, lists ----
 
 void Gateway::probe(InstanceId record, const Probe &what) {
-    const auto to = parseAddress(what.server);
-    if (!to) {
-        later([=, this] { happened(ProbeEnded{what.server, {}}, record); });
-        return;
-    }
-    http::RequestHead head;
-    head.method = "GET", head.target = given.upstream.probePath;
-    std::erase_if(probes, [](const auto &call) { return call.use_count() == 1; });
-    probes.push_back(http::Fetch::start(context, *to, head, {}, given.upstream.probeWithin,
-                                        [=, this](const http::Fetched &got) {
-                                            ++socketEvents;
-                                            later([=, this, load = loadOf(got.head, given.headers.load)] {
-                                                happened(ProbeEnded{what.server, load}, record);
-                                            });
-                                        }));
+    upstreams->probe(what.server, [this, record, server = what.server,
+                                   here = std::weak_ptr(alive)](std::vector<double> load) {
+        if (here.expired()) return;
+        ++socketEvents;
+        later([this, record, server, load = std::move(load)] { happened(ProbeEnded{server, load}, record); });
+    });
 }
 
 void Gateway::note(const ListTold &told_) {
@@ -726,13 +601,13 @@
         std::set<ServerId> still;
         for (const auto &e : told_.entries) still.insert(e.id);
         for (const auto &[id, e] : list)
-            if (!still.contains(id)) pool.closeIdle(id);
+            if (!still.contains(id)) upstreams->closeIdle(id);
         list.clear();
     }
     for (const auto &e : told_.entries) {
         if (e.readiness == Readiness::gone) list.erase(e.id);
         else list[e.id] = e;
-        if (e.readiness != Readiness::live) pool.closeIdle(e.id);
+        if (e.readiness != Readiness::live) upstreams->closeIdle(e.id);
         if (e.readiness == Readiness::draining) drainingServer = e.id;
     }
     if (onListed) onListed();
@@ -756,12 +631,12 @@
 void Gateway::sweep() {
     const Span now = turn();
     if (!frozen) {
-        pool.sweep(now);
+        upstreams->sweep(now);
         std::vector<std::pair<ReqId, int>> stalled;
         for (const auto &[id, rq] : reqs)
             if (rq->streaming >= 0) {
                 const Try &t = rq->tries[std::size_t(rq->streaming)];
-                const bool slowReader = rq->exchange->waiting() > 0;  // the door ends those
+                const bool slowReader = rq->taken->waiting() > 0;  // the door ends those
                 if (!t.over && !slowReader && now - t.progress > given.upstream.stalledFor)
                     stalled.push_back({id, rq->streaming});
             }
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -10,12 +10,10 @@
 
 #include "../base/clock.hpp"
 #include "../base/log.hpp"
-#include "../http/client.hpp"
-#include "../http/server.hpp"
 #include "../settings/orders.hpp"
 #include "desk_client.hpp"
 #include "member_feed.hpp"
-#include "pool.hpp"
+#include "ways.hpp"
 
 namespace deckcart {
 
@@ -36,13 +34,16 @@
 class Gateway {
   public:
     Gateway(asio::io_context &context, const Clock &clock, GatewayOrders orders, std::uint64_t seed, Log log,
-            const asio::ip::tcp::endpoint &listen, ShellFaults faults = {});
+            const asio::ip::tcp::endpoint &listen, ShellFaults faults = {});  // HTTP on both sides
+    Gateway(asio::io_context &context, const Clock &clock, GatewayOrders orders, std::uint64_t seed, Log log,
+            const Ways &ways, ShellFaults faults = {});
     ~Gateway();
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
 
     // The list of before, told to the module as its last known one. Call it before the first req.
     void remember(const std::vector<ListedServer> &saved);
+    void remember(const ListTold &known) { happened(known); }
     // The same where the list has sources of its own; read with readSaved() on this gateway's clock.
     void remember(const std::vector<membership::SavedSource> &saved);
     // Takes new orders while reqs go on. A new start of the module (newModule) takes the reqs that come from
@@ -54,10 +55,10 @@
     bool
     wrongAnswer(const std::string &reqId);  // a client's report on an answer it got here; false: not known
 
-    asio::ip::tcp::endpoint address() const { return door.address(); }
+    asio::ip::tcp::endpoint address() const { return front->address(); }
     const GatewayCounts &counts() const { return counted; }
     std::size_t inHand() const { return reqs.size(); }
-    std::size_t connections() const { return door.connections(); }
+    std::size_t connections() const { return front->connections(); }
     const GatewayOrders &orders() const { return given; }
     std::vector<ListedServer> listed() const;
     std::optional<ToldStage> stage() const { return told; }
@@ -67,7 +68,7 @@
   private:
     struct Try;
     struct Req;
-    class Upstream;
+    class Sink;
 
     // ---- time: a stopped clock is found here ----
     Span turn();
@@ -75,30 +76,29 @@
     void thaw();
     void later(std::function<void()> what);  // now, or once what came during a standstill is told
 
-    void arrived(std::shared_ptr<http::Exchange> exchange);
-    void take(std::shared_ptr<http::Exchange> exchange, std::size_t rule, Span came, Span clientEnd);
+    void arrived(std::shared_ptr<TakenReq> taken);
+    void take(std::shared_ptr<TakenReq> taken, Span came);
     void clientGone(ReqId id);
     void watchDeadline(Req &rq);
     void wakeIn(Req &rq, Span after);
-    static http::AnswerHead passedHead(const Try &t);
     void deadline(ReqId id);
     void happened(Event event, InstanceId record);
     void happened(Event event);  // to every record
-    void endUnsent();
+    void endUnsent(std::function<bool(const Try &)> stays);
     void decide();
     void carryOut(InstanceId record, const Action &action);
     void send(InstanceId record, const SendTry &what);
     void tryEnded(ReqId id, int tryNo, Outcome how);
     void pass(Req &rq, int tryNo, std::string_view part);
     void complete(Req &rq, int tryNo);
-    void finish(Req &rq, const char *end, int status, Span retryIn);
+    void finish(Req &rq, const char *end, bool late, Span retryIn);
     void forget(Req &rq);
     void probe(InstanceId record, const Probe &what);
     void sweep();
     void note(const ListTold &list);
     void startModule();
     void startFeed(const std::vector<membership::SavedSource> &saved);
-    void logReq(const Req &rq, const char *end, int status);
+    void logReq(const Req &rq, const char *end);
 
     asio::io_context &context;
     const Clock &clock;
@@ -126,10 +126,9 @@
 
     std::map<ServerId, ServerEntry> list;  // as last told, for who asks and for the snapshot
     std::optional<ToldStage> told;
-    Pool pool;
-    std::unique_ptr<DeskClient> desk;
+    std::unique_ptr<Upstreams> upstreams;
+    std::unique_ptr<Desk> desk;
     std::unique_ptr<MemberFeed> feed;
-    std::vector<std::shared_ptr<http::Fetch>> probes;
 
     struct Passed {
         ServerId server;
@@ -143,8 +142,13 @@
     GatewayCounts counted;
     std::function<void()> drained;
     ServerId drainingServer;  // for the fault that sends after a drain
+    struct Nobody : CallOwner {
+        void onAnswer(std::string_view) override {}
+        void onCallEnd(Outcome) override {}
+    } nobody;
+    std::vector<std::shared_ptr<Call>> repeats;  // of the fault that repeats
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
-    http::Door door;  // last: it calls into all of the above
+    std::unique_ptr<Front> front;  // last: it calls into all of the above
 };
 
 }  // namespace deckcart
--- /dev/null
+++ b/src/gateway/http_ways.cpp
@@ -0,0 +1,272 @@
+#include "http_ways.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+#include "../base/address.hpp"
+#include "../http/fetch.hpp"
+#include "desk_client.hpp"
+#include "pool.hpp"
+
+namespace deckcart {
+namespace {
+
+constexpr const char *kEndHeader = "Deckcart-End", *kBuildHeader = "Deckcart-Build",
+                     *kRetryHeader = "Deckcart-Retry-Ms";
+
+std::optional<double> number(const std::string *text) {
+    if (!text) return std::nullopt;
+    double value = 0;
+    const auto [end, fault] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (fault != std::errc{} || end != text->data() + text->size() || !std::isfinite(value))
+        return std::nullopt;
+    return value;
+}
+
+std::vector<double> loadOf(const http::Head &head, const std::string &name) {
+    std::vector<double> load;
+    const std::string *text = head.find(name);
+    const char *at = text ? text->data() : nullptr, *end = text ? at + text->size() : nullptr;
+    while (at != end && load.size() < 4) {
+        while (at != end && (*at == ' ' || *at == ',')) ++at;
+        double value = 0;
+        const auto [next, fault] = std::from_chars(at, end, value);
+        if (fault != std::errc{}) break;
+        load.push_back(value), at = next;
+    }
+    return load;
+}
+
+class HttpCall;
+
+// ---- reqs ----
+
+class HttpReq : public TakenReq {
+  public:
+    HttpReq(std::shared_ptr<http::Exchange> e, const GatewayOrders &with)
+        : exchange(std::move(e)), orders(with) {
+        exchange->onGone = [this] {
+            if (const auto tell = onGone) tell();
+        };
+        exchange->onDrained = [this] {
+            if (const auto tell = onDrained) tell();
+        };
+    }
+    ~HttpReq() override { exchange->onGone = nullptr, exchange->onDrained = nullptr; }
+
+    bool open() const override { return exchange->open(); }
+    void shed(const std::string &name, Span retryIn) override {
+        const auto ms = std::max<std::int64_t>(retryIn.count() / 1000, 0);
+        refuse(503, "shed", name,
+               {{"Retry-After", std::to_string((ms + 999) / 1000)}, {kRetryHeader, std::to_string(ms)}});
+    }
+    void errored(const std::string &name, bool late) override {
+        refuse(late ? 504 : 502, "errored", name, {});
+    }
+    void completed(Call &from, std::string_view answer) override;
+    void begin(Call &from) override;
+    void write(std::string_view part) override { exchange->write(part); }
+    void end() override { exchange->end(); }
+    void abort() override { exchange->abort(); }
+    std::size_t waiting() const override { return exchange->waiting(); }
+    void answerTwice() override { exchange->writeBehind("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); }
+
+    const std::shared_ptr<http::Exchange> exchange;
+
+  private:
+    void refuse(int status, const char *end, const std::string &name, std::vector<http::Header> more) {
+        http::AnswerHead answer;
+        answer.status = status;
+        answer.headers = {{kEndHeader, end}, {orders.headers.reqId, name}, {"Content-Type", "text/plain"}};
+        answer.headers.insert(answer.headers.end(), more.begin(), more.end());
+        exchange->answer(std::move(answer), std::string(end) + "\n");
+    }
+    const GatewayOrders &orders;
+};
+
+class HttpFront : public Front {
+  public:
+    HttpFront(asio::io_context &io, const asio::ip::tcp::endpoint &at, const GatewayOrders &with,
+              FrontOwner to)
+        : orders(with), owner(std::move(to)),
+          door(io, at, with.door, [this](std::shared_ptr<http::Exchange> e) { arrived(std::move(e)); }) {}
+
+    asio::ip::tcp::endpoint address() const override { return door.address(); }
+    void limit() override { door.limit(orders.door); }
+    void drain() override { door.drain(); }
+    std::size_t connections() const override { return door.connections(); }
+
+  private:
+    void arrived(std::shared_ptr<http::Exchange> exchange) {
+        const auto &head = exchange->head;
+        const std::string path = head.target.substr(0, head.target.find('?'));
+        std::size_t rule = 0;
+        while (rule < orders.routes.size() &&
+               !((orders.routes[rule].method.empty() || orders.routes[rule].method == head.method) &&
+                 path.starts_with(orders.routes[rule].pathPrefix)))
+            ++rule;
+        const auto refuse = [&](int status, const char *end, const char *words,
+                                std::vector<http::Header> more) {
+            http::AnswerHead answer;
+            answer.status = status, answer.headers = std::move(more);
+            answer.headers.insert(answer.headers.end(), {{kEndHeader, end}, {"Content-Type", "text/plain"}});
+            exchange->answer(std::move(answer), words);
+        };
+        if (orders.routes.empty()) return refuse(503, "shed", "no settings yet\n", {{"Retry-After", "1"}});
+        if (rule == orders.routes.size()) {
+            owner.unrouted();
+            return refuse(404, "errored", "no route takes this\n", {});
+        }
+        const auto text = [&](const std::string &name) {
+            const std::string *found = head.find(name);
+            return found ? *found : std::string{};
+        };
+        ReqFacts facts;
+        facts.route = rule, facts.key = text(orders.headers.key), facts.name = text(orders.headers.reqId);
+        const auto account = std::ranges::find(orders.accounts, text(orders.headers.account));
+        // One that is not named is past the end of the shares: it has none, and no excess either.
+        facts.account = orders.accounts.empty() ? 0 : int(account - orders.accounts.begin());
+        facts.wait = orders.routes[rule].routeTimeout;
+        if (const auto left = number(head.find(orders.headers.remaining)); left && *left >= 0)
+            facts.wait = std::min(facts.wait, Span{std::llround(std::min(*left, 1e9) * 1000)});
+        auto req = std::make_shared<HttpReq>(std::move(exchange), orders);
+        req->facts = std::move(facts);
+        owner.arrived(std::move(req));
+    }
+
+    const GatewayOrders &orders;
+    FrontOwner owner;
+    http::Door door;
+};
+
+// ---- calls ----
+
+class HttpCall : public Call, private http::CallSink {
+  public:
+    HttpCall(Pool &of, const GatewayOrders &with, ServerId to, std::shared_ptr<http::ClientConnection> over)
+        : pool(of), orders(with), server(std::move(to)), connection(std::move(over)) {}
+
+    void start(const TakenReq &req, const std::string &name, Span left, BuildNo of, CallOwner *to) override {
+        owner = to, build = of;
+        const auto &exchange = *static_cast<const HttpReq &>(req).exchange;
+        const auto &in = exchange.head;
+        http::RequestHead out;
+        out.method = in.method, out.target = in.target;
+        out.headers.reserve(in.headers.size() + 3);
+        for (const auto &h : in.headers)
+            if (http::travels(in, h.first) && !http::sameName(h.first, orders.headers.remaining))
+                out.headers.push_back(h);
+        if (!in.find(orders.headers.reqId)) out.headers.push_back({orders.headers.reqId, name});
+        // What is left of the client's wait, as it is now.
+        out.headers.push_back({orders.headers.remaining, std::to_string(left.count() / 1000)});
+        out.headers.push_back({"Via", "1.1 deckcart"});
+        if (!exchange.body.empty() || in.length || in.chunked) out.length = exchange.body.size();
+        connection->call(*parseAddress(server), orders.upstream.connectWithin,
+                         http::write(out) + exchange.body, in.method == "HEAD", this);
+    }
+    bool handedOver() const override { return connection->handedOver(); }
+    void release(Span now) override {
+        if (!connection->reusable()) connection->drop();
+        pool.give(server, connection, now);
+    }
+    void pause() override { connection->pause(); }
+    void resume() override { connection->resume(); }
+
+    // The head of an instance's answer as the client gets it.
+    http::AnswerHead passedHead() const {
+        http::AnswerHead out = head;
+        std::erase_if(out.headers, [&](const http::Header &h) { return !http::travels(head, h.first); });
+        out.headers.push_back({kEndHeader, "completed"});
+        out.headers.push_back({kBuildHeader, std::to_string(build)});
+        return out;
+    }
+    std::optional<std::uint64_t> length() const { return head.length; }
+
+  private:
+    void onAnswerHead(const http::AnswerHead &came) override { head = came; }
+    void onAnswerBody(std::string_view part) override {
+        // An error's body goes nowhere: the req may still be done elsewhere.
+        if (head.status < 500) owner->onAnswer(part);
+    }
+    void onCallEnd(http::CallEnd how) override {
+        if (how == http::CallEnd::complete) {
+            const bool full = head.status == 503 && head.find(orders.headers.full);
+            return owner->onCallEnd(head.status < 500 ? Outcome::ok : full ? Outcome::full : Outcome::error);
+        }
+        // Whether it may have run is told by the bytes that were handed over. An idle connection that closes
+        // as the req goes out has taken them: it may have run.
+        const bool none = how == http::CallEnd::connectFailed || !connection->handedOver();
+        owner->onCallEnd(none                            ? Outcome::connectFailed
+                         : how == http::CallEnd::garbage ? Outcome::error
+                                                         : Outcome::reset);
+    }
+
+    Pool &pool;
+    const GatewayOrders &orders;
+    ServerId server;
+    BuildNo build = 0;
+    std::shared_ptr<http::ClientConnection> connection;
+    CallOwner *owner = nullptr;
+    http::AnswerHead head;
+};
+
+void HttpReq::completed(Call &from, std::string_view answer) {
+    const auto &call = static_cast<HttpCall &>(from);
+    http::AnswerHead head = call.passedHead();
+    if (exchange->head.method != "HEAD" || !call.length()) return exchange->answer(std::move(head), answer);
+    head.length = call.length();
+    exchange->begin(std::move(head));
+    exchange->end();
+}
+void HttpReq::begin(Call &from) {
+    http::AnswerHead head = static_cast<HttpCall &>(from).passedHead();
+    head.chunked = !head.length;
+    exchange->begin(std::move(head));
+}
+
+class HttpUpstreams : public Upstreams {
+  public:
+    HttpUpstreams(asio::io_context &io, const GatewayOrders &with)
+        : context(io), orders(with), pool(io, with) {}
+    ~HttpUpstreams() override {
+        for (const auto &call : probes) call->stop();
+    }
+
+    std::shared_ptr<Call> take(const ServerId &server) override {
+        const auto connection = parseAddress(server) ? pool.take(server) : nullptr;
+        return connection ? std::make_shared<HttpCall>(pool, orders, server, connection) : nullptr;
+    }
+    void closeIdle(const ServerId &server) override { pool.closeIdle(server); }
+    void sweep(Span now) override { pool.sweep(now); }
+    void probe(const ServerId &server, Probed done) override {
+        const auto to = parseAddress(server);
+        if (!to) return done({});
+        http::RequestHead head;
+        head.method = "GET", head.target = orders.upstream.probePath;
+        std::erase_if(probes, [](const auto &call) { return call.use_count() == 1; });
+        probes.push_back(http::Fetch::start(
+            context, *to, head, {}, orders.upstream.probeWithin,
+            [this, done](const http::Fetched &got) { done(loadOf(got.head, orders.headers.load)); }));
+    }
+
+  private:
+    asio::io_context &context;
+    const GatewayOrders &orders;
+    Pool pool;
+    std::vector<std::shared_ptr<http::Fetch>> probes;
+};
+
+}  // namespace
+
+std::unique_ptr<Front> HttpWays::front(const GatewayOrders &orders, FrontOwner owner) const {
+    return std::make_unique<HttpFront>(context, listen, orders, std::move(owner));
+}
+std::unique_ptr<Upstreams> HttpWays::upstreams(const GatewayOrders &orders) const {
+    return std::make_unique<HttpUpstreams>(context, orders);
+}
+std::unique_ptr<Desk> HttpWays::desk(const GatewayOrders &orders, DeskOwner owner) const {
+    return std::make_unique<DeskClient>(context, orders, std::move(owner.now), std::move(owner.tell));
+}
+
+}  // namespace deckcart
--- /dev/null
+++ b/src/gateway/ways.hpp
@@ -0,0 +1,117 @@
+// The ways in and out of a gateway: a req taken, a call to an instance, a probe, list and votes. What crosses
+// them is the same whatever the protocol; HTTP's stand in http_ways.cpp, a platform's in src/platform/.
+// Nothing behind them chooses an instance, sends again by itself, or holds a final answer back.
+#pragma once
+
+#include <asio/ip/tcp.hpp>
+#include <deckcart/policy.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace deckcart {
+
+class Call;
+
+// What the module and the data path want to know of a req.
+struct ReqFacts {
+    std::size_t route = 0;  // of GatewayOrders::routes
+    int account = 0;        // past the end of the shares: one that is not named
+    std::string key, name;  // name: the client's own id of it; empty: it gave none
+    Span wait{};            // from when it came until the client gives up
+};
+
+// A req that a client has sent; answered once: by shed, errored, completed, or begin, write and end. What is
+// written after the client has gone goes nowhere.
+class TakenReq {
+  public:
+    virtual ~TakenReq() = default;
+
+    virtual bool open() const = 0;  // the client is there and no final answer has ended
+    virtual void shed(const std::string &name, Span retryIn) = 0;
+    virtual void errored(const std::string &name, bool late) = 0;
+    virtual void completed(Call &from, std::string_view answer) = 0;
+    // An answer that is passed on as it comes.
+    virtual void begin(Call &from) = 0;
+    virtual void write(std::string_view part) = 0;
+    virtual void end() = 0;
+    virtual void abort() = 0;                 // it can't be completed, and the client can tell
+    virtual std::size_t waiting() const = 0;  // bytes that the client has not taken yet
+    virtual void answerTwice() {}             // a fault that rehearsals ask for
+
+    ReqFacts facts;
+    std::function<void()> onGone;     // the client has left before the answer's end
+    std::function<void()> onDrained;  // what was waiting has been taken
+};
+
+// What a call tells its owner. After onCallEnd nothing more comes.
+class CallOwner {
+  public:
+    virtual ~CallOwner() = default;
+    virtual void onAnswer(std::string_view part) = 0;
+    virtual void onCallEnd(Outcome how) = 0;  // ok, or the truth of whether it may have run
+};
+
+// One try's way to an instance. Given back once, by release().
+class Call {
+  public:
+    virtual ~Call() = default;
+    // Sends what the client has sent; `left`: what is left of its wait. Never calls back from within.
+    virtual void start(const TakenReq &req, const std::string &name, Span left, BuildNo build,
+                       CallOwner *owner) = 0;
+    // Whether the instance may have got the whole of it. What was not handed over can be withdrawn.
+    virtual bool handedOver() const = 0;
+    // Of a call that has ended its connection may serve on; else it is closed at once.
+    virtual void release(Span now) = 0;
+    virtual void pause() {}
+    virtual void resume() {}
+};
+
+class Upstreams {
+  public:
+    using Probed = std::function<void(std::vector<double> load)>;  // empty: the probe has failed
+    virtual ~Upstreams() = default;
+    // Empty when a bound is reached or the instance has no address.
+    virtual std::shared_ptr<Call> take(const ServerId &server) = 0;
+    virtual void closeIdle(const ServerId &server) = 0;
+    virtual void sweep(Span now) = 0;  // ends connections that were idle for too long
+    virtual void probe(const ServerId &server, Probed done) = 0;
+};
+
+class Front {
+  public:
+    virtual ~Front() = default;
+    virtual asio::ip::tcp::endpoint address() const = 0;
+    virtual void limit() = 0;  // the orders' bounds have changed
+    virtual void drain() = 0;  // takes no more; reqs in hand are answered, each with its connection closed
+    virtual std::size_t connections() const = 0;
+};
+struct FrontOwner {
+    std::function<void(std::shared_ptr<TakenReq>)> arrived;
+    std::function<void()> unrouted;  // one came that no route takes; it is answered
+};
+
+class Desk {
+  public:
+    virtual ~Desk() = default;
+    virtual void follow(bool active) = 0;
+    virtual void vote(const Vote &vote, Span within) = 0;
+};
+struct DeskOwner {
+    std::function<Span()> now;
+    std::function<void(Event)> tell;
+};
+
+struct GatewayOrders;
+
+// Makes the four for a gateway whose orders outlive them.
+class Ways {
+  public:
+    virtual ~Ways() = default;
+    virtual std::unique_ptr<Front> front(const GatewayOrders &orders, FrontOwner owner) const = 0;
+    virtual std::unique_ptr<Upstreams> upstreams(const GatewayOrders &orders) const = 0;
+    virtual std::unique_ptr<Desk> desk(const GatewayOrders &orders, DeskOwner owner) const = 0;
+};
+
+}  // namespace deckcart
--- a/src/settings/orders.hpp
+++ b/src/settings/orders.hpp
@@ -66,7 +66,8 @@
     UpstreamLimits upstream;
     std::optional<DeskCalls> desk;
     std::optional<SourceOrders> sources;
-    double reqSample = 0;  // part of the reqs that are logged
+    double reqSample = 0;            // part of the reqs that are logged
+    std::size_t passedKept = 16384;  // answers that may be reported wrong: some seconds of a busy gateway
 
     int zoneNo(const std::string &name) const;  // 0 for one that is not named
 };
