--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,8 +1,11 @@
 // The program: subcommands and their options. No logic.
 #include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
 
 #include "../base/address.hpp"
 #include "../gateway/service.hpp"
+#include "../platform/service.hpp"
 #include "api_calls.hpp"
 #include "rehearse.hpp"
 
@@ -33,13 +36,17 @@
     std::vector<std::string> faults;
     auto *gateway =
         app.add_subcommand("gateway", "run a gateway until SIGTERM; settings come by PUT /v1/settings");
+    bool platform = false;
+    auto *onPlatform = gateway->add_flag(
+        "--platform", platform, "serve as the platform's configuration, the file EDGE_CONFIG names, says");
     gateway->add_option("--listen", listen, "where clients connect; port 0 picks one")
-        ->required()
+        ->excludes(onPlatform)
         ->check(address());
-    gateway->add_option("--api", api, "where the API listens")->required()->check(address());
-    gateway->add_option("--state", state,
-                        "folder of the saved settings and list; without it nothing is kept");
-    gateway->add_option("--ready-file", readyFile, "written with the chosen addresses once it listens");
+    gateway->add_option("--api", api, "where the API listens")->excludes(onPlatform)->check(address());
+    gateway->add_option("--state", state, "folder of the saved settings and list; without it nothing is kept")
+        ->excludes(onPlatform);
+    gateway->add_option("--ready-file", readyFile, "written with the chosen addresses once it listens")
+        ->excludes(onPlatform);
     gateway->add_option("--logs", logs, "text, json or none")->transform(CLI::CheckedTransformer(kLogForms));
     gateway->add_option("--shell-fault", faults, "for rehearsals of the auditor: a fault of the data path")
         ->check(CLI::IsMember(kShellFaults));
@@ -87,7 +94,14 @@
     } catch (const CLI::ParseError &said) {
         return app.exit(said) == 0 ? 0 : 2;
     }
+    if (gateway->parsed() && platform) {
+        const char *config = std::getenv("EDGE_CONFIG");
+        if (!config) return std::cerr << "deckcart: EDGE_CONFIG is not set\n", 2;
+        return deckcart::platform::runGateway(config, logs);
+    }
     if (gateway->parsed()) {
+        if (listen.empty() || api.empty())
+            return std::cerr << "deckcart: --listen and --api are required without --platform\n", 2;
         deckcart::ServiceStart start{
             *deckcart::parseAddress(listen), *deckcart::parseAddress(api), state, readyFile, logs, {}};
         for (const auto &fault : faults) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -194,6 +194,17 @@
     if (unanswered == 0 && drained) asio::post(context, std::exchange(drained, nullptr));
 }
 
+void Gateway::endInHand() {
+    std::vector<ReqId> ids;
+    for (const auto &[id, rq] : reqs)
+        if (!rq->answered) ids.push_back(id);
+    for (const ReqId id : ids) {
+        ++counted.overdue;
+        finish(*reqs.at(id), "errored", true, Span{0});
+        later([this, id] { clientGone(id); });
+    }
+}
+
 // ---- time ----
 
 // Every way in passes here. A turn much later than the one before means that this process stood still: what
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -44,6 +44,7 @@
     // The list of before, told to the module as its last known one. Call it before the first req.
     void remember(const std::vector<ListedServer> &saved);
     void remember(const ListTold &known) { happened(known); }
+    void tell(const StageNews &news) { happened(news); }  // as last known
     // The same where the list has sources of its own; read with readSaved() on this gateway's clock.
     void remember(const std::vector<membership::SavedSource> &saved);
     // Takes new orders while reqs go on. A new start of the module (newModule) takes the reqs that come from
@@ -52,6 +53,7 @@
     bool mayRestartModule() const;
     // Refuses new reqs, finishes those in hand, then calls back.
     void drain(std::function<void()> done);
+    void endInHand();  // answers whatever is still in hand, as errored
     bool
     wrongAnswer(const std::string &reqId);  // a client's report on an answer it got here; false: not known
 
--- /dev/null
+++ b/src/platform/desk.cpp
@@ -0,0 +1,191 @@
+#include "desk.hpp"
+
+#include "../base/address.hpp"
+
+namespace deckcart::platform {
+
+using std::chrono::milliseconds;
+
+// Signs of life come every 2 s and every second: two of them late, or three.
+constexpr Stream::Times kListTimes{milliseconds(5000), milliseconds(50), milliseconds(1000)};
+constexpr Stream::Times kBulletinTimes{milliseconds(3000), milliseconds(20), milliseconds(500)};
+constexpr Span kNever = std::chrono::hours(24 * 365);  // a leg's own silence: the stream watches it
+
+Span onClock(std::int64_t unixMs) {
+    static const Span offset =
+        std::chrono::duration_cast<Span>(std::chrono::system_clock::now().time_since_epoch() -
+                                         std::chrono::steady_clock::now().time_since_epoch());
+    return Span{unixMs * 1000} - offset;
+}
+
+ListTold listTold(const Members &told) {
+    ListTold out{told.complete, {}};
+    for (const auto &m : told.members) {
+        out.entries.push_back(m.entry);
+        if (m.startedAtMs > 0) out.entries.back().startedAt = onClock(m.startedAtMs);
+    }
+    return out;
+}
+
+// ---- streams ----
+
+struct Stream::Leg {
+    std::shared_ptr<http::Fetch> fetch;
+    Line line;
+    std::chrono::steady_clock::time_point spoke{};
+    bool dead = false;
+};
+
+Stream::Stream(asio::io_context &io, Times with, std::uint64_t seed, Log to, const char *named,
+               std::function<std::string()> path, std::function<Line()> lines)
+    : context(io), times(with), chance(std::mt19937::result_type(seed)), log(std::move(to)), name(named),
+      target(std::move(path)), reader(std::move(lines)), timer(io), watchdog(io), pause(with.first) {}
+
+Stream::~Stream() {
+    *alive = false;
+    drop(standing), drop(coming);
+}
+
+void Stream::drop(std::shared_ptr<Leg> &leg) {
+    if (!leg) return;
+    leg->dead = true;
+    if (const auto fetch = std::exchange(leg->fetch, nullptr)) fetch->stop();
+    leg = nullptr;
+}
+
+void Stream::open(const asio::ip::tcp::endpoint &to) {
+    address = to;
+    pause = times.first;
+    start();
+}
+
+void Stream::start() {
+    drop(coming);
+    const auto leg = std::make_shared<Leg>();
+    leg->line = reader();
+    http::RequestHead head;
+    head.method = "GET", head.target = target();
+    coming = leg;
+    leg->fetch = http::Fetch::start(
+        context, address, head, {}, kNever,
+        [this, leg, here = std::weak_ptr(alive)](const http::Fetched &) {
+            if (here.expired() || leg->dead) return;
+            leg->dead = true, leg->fetch = nullptr;
+            if (leg == standing) standing = nullptr;
+            if (leg == coming) coming = nullptr;
+            if (!coming) again();
+        },
+        [this, leg, here = std::weak_ptr(alive)](std::string_view line) {
+            if (here.expired() || leg->dead) return;
+            if (leg == coming) {
+                drop(standing);
+                standing = std::exchange(coming, nullptr);
+                pause = times.first;
+            }
+            leg->spoke = std::chrono::steady_clock::now();
+            try {
+                leg->line(line);
+            } catch (const std::exception &fault) {
+                log.warn("unreadable", {{"stream", name}, {"fault", fault.what()}});
+                if (leg == standing) drop(standing);
+                if (!coming) again();
+            }
+        });
+    watch(std::chrono::steady_clock::now() + times.silentFor);
+}
+
+// Silence: another one is opened beside the one that stands, which may still speak first.
+void Stream::watch(std::chrono::steady_clock::time_point until) {
+    watchdog.expires_at(until);
+    watchdog.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (fault || here.expired()) return;
+        const auto now = std::chrono::steady_clock::now();
+        const bool speaks = !coming && standing && now - standing->spoke < times.silentFor;
+        if (speaks) watch(standing->spoke + times.silentFor);
+        else start();
+    });
+}
+
+void Stream::again() {
+    const double part = 0.5 + 0.5 * double(chance()) / 4294967296.0;
+    timer.expires_after(Span{std::llround(double(pause.count()) * part)});
+    pause = std::min(2 * pause, times.most);
+    timer.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (!fault && !here.expired() && !coming) start();
+    });
+}
+
+// ---- the desk ----
+
+PlatformDesk::PlatformDesk(asio::io_context &io, Directory &where, const wire::BirthSettings &with, At places,
+                           std::uint64_t seed, Log to, std::int64_t known, DeskOwner from)
+    : context(io), directory(where), settings(with), at(places), log(std::move(to)), owner(std::move(from)),
+      generation(known),
+      list(
+          io, kListTimes, seed, log, "discovery",
+          [this] { return "/discovery/hosts?stream=1&index=" + std::to_string(generation); },
+          [this]() -> Stream::Line {
+              return [this](std::string_view line) {
+                  if (line.find_first_not_of("\r ") == std::string_view::npos) return;  // a sign of life
+                  took(readMembers(nlohmann::json::parse(line), settings.zones));
+              };
+          }),
+      bulletin(
+          io, kBulletinTimes, seed + 1, log, "bulletin", [] { return std::string("/apis/fleet/bulletin"); },
+          [this]() -> Stream::Line {
+              return [this, events = std::make_shared<EventLines>()](std::string_view line) {
+                  const auto event = events->line(line);
+                  if (!event) return;
+                  if (event->first == "news") owner.tell(readNews(readForm(event->second)));
+                  else if (event->first == "counts")
+                      owner.tell(readCounts(readForm(event->second), settings.routes));
+              };
+          }) {
+    list.open(at.discovery);
+    bulletin.open(at.control);
+}
+
+PlatformDesk::~PlatformDesk() {
+    for (const auto &weak : calls)
+        if (const auto call = weak.lock()) call->stop();
+}
+
+// The streams stand always: the platform sends by itself, also where the module would ask.
+void PlatformDesk::follow(bool) {}
+
+void PlatformDesk::move(const At &to) {
+    if (to.discovery != at.discovery) list.open(to.discovery);
+    if (to.control != at.control) bulletin.open(to.control);
+    at = to;
+}
+
+void PlatformDesk::took(const Members &told) {
+    if (told.generation < generation) return;  // overtaken: it changes nothing
+    generation = told.generation;
+    directory.note(told);
+    owner.tell(listTold(told));
+}
+
+void PlatformDesk::vote(const Vote &vote, Span within) {
+    http::RequestHead head;
+    head.method = "POST", head.target = "/apis/fleet/";
+    head.headers = {{"Content-Type", "application/x-www-form-urlencoded"}};
+    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
+    const auto held = std::make_shared<std::weak_ptr<http::Fetch>>();
+    const auto call = http::Fetch::start(
+        context, at.control, head, voteForm(vote), within, [this, held](const http::Fetched &got) {
+            const auto self = held->lock();
+            const auto failed = [&](Outcome how) {
+                owner.tell(StageNews{true, how, 0, 0, Phase::onTrial, 0, {}});
+            };
+            if (got.inTime && got.how == http::CallEnd::complete)
+                return owner.tell(readVoteAnswer(got.head.status, got.body));
+            // Not carried out where nothing was handed over; else it may have been.
+            const bool none = got.how == http::CallEnd::connectFailed || (self && !self->handedOver());
+            failed(none ? Outcome::error : Outcome::timeout);
+        });
+    *held = call;
+    calls.push_back(call);
+}
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/desk.hpp
@@ -0,0 +1,79 @@
+// Discovery and the control service of the platform: the list's watch, news and counts, votes. Turns
+// documents into events; when to vote is the module's business. A stream that breaks is made anew from where
+// it was; one that says nothing is kept until another one speaks.
+#pragma once
+
+#include <random>
+
+#include "../base/log.hpp"
+#include "../gateway/ways.hpp"
+#include "../http/fetch.hpp"
+#include "directory.hpp"
+
+namespace deckcart::platform {
+
+// One stream that is to stand always: opened, opened anew with back-off, moved to another address.
+class Stream {
+  public:
+    using Line = std::function<void(std::string_view)>;  // throws where it can't be read
+    struct Times {
+        Span silentFor, first, most;  // of silence that counts as broken; pauses before it is opened anew
+    };
+    Stream(asio::io_context &context, Times times, std::uint64_t seed, Log log, const char *name,
+           std::function<std::string()> target, std::function<Line()> reader);
+    ~Stream();
+    void open(const asio::ip::tcp::endpoint &at);  // the one that stands is kept until the new one speaks
+
+  private:
+    struct Leg;
+    void start();
+    void again();
+    void watch(std::chrono::steady_clock::time_point until);
+    void drop(std::shared_ptr<Leg> &leg);
+
+    asio::io_context &context;
+    Times times;
+    std::mt19937 chance;
+    Log log;
+    const char *name;
+    std::function<std::string()> target;
+    std::function<Line()> reader;
+    asio::ip::tcp::endpoint address;
+    std::shared_ptr<Leg> standing, coming;
+    asio::steady_timer timer, watchdog;
+    Span pause{};
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+};
+
+class PlatformDesk : public Desk {
+  public:
+    struct At {
+        asio::ip::tcp::endpoint discovery, control;
+    };
+    PlatformDesk(asio::io_context &context, Directory &directory, const wire::BirthSettings &settings, At at,
+                 std::uint64_t seed, Log log, std::int64_t generation, DeskOwner owner);
+    ~PlatformDesk() override;
+
+    void follow(bool active) override;
+    void vote(const Vote &vote, Span within) override;
+    void move(const At &to);
+
+  private:
+    void took(const Members &told);
+
+    asio::io_context &context;
+    Directory &directory;
+    const wire::BirthSettings &settings;
+    At at;
+    Log log;
+    DeskOwner owner;
+    std::int64_t generation;
+    Stream list, bulletin;
+    std::vector<std::weak_ptr<http::Fetch>> calls;
+};
+
+// Unix time to the gateway's clock and back: read once, so that a fact does not move.
+Span onClock(std::int64_t unixMs);
+ListTold listTold(const Members &told);
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/directory.cpp
@@ -0,0 +1,21 @@
+#include "directory.hpp"
+
+#include "../base/address.hpp"
+
+namespace deckcart::platform {
+
+void Directory::note(const Members &told) {
+    if (told.complete) places.clear();
+    for (const auto &m : told.members) {
+        if (m.entry.readiness == Readiness::gone) places.erase(m.entry.id);
+        else if (const auto at = parseAddress(m.address))
+            places[m.entry.id] = {*at, m.entry.build, m.startedAtMs};
+    }
+}
+
+const Directory::Place *Directory::find(const ServerId &id) const {
+    const auto it = places.find(id);
+    return it == places.end() ? nullptr : &it->second;
+}
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/front.cpp
@@ -0,0 +1,77 @@
+#include "front.hpp"
+
+#include <algorithm>
+
+namespace deckcart::platform {
+
+class RespReq : public TakenReq {
+  public:
+    using Names = std::shared_ptr<std::unordered_set<std::string>>;
+    RespReq(std::shared_ptr<resp::Exchange> e, CommandRead read, Names open)
+        : command(std::move(read.command)), exchange(std::move(e)), names(std::move(open)) {
+        facts = std::move(read.facts);
+        names->insert(facts.name);
+        exchange->onGone = [this] {
+            free();
+            if (const auto tell = onGone) tell();
+        };
+    }
+    ~RespReq() override {
+        exchange->onGone = nullptr;
+        free();
+    }
+
+    bool open() const override { return exchange->open(); }
+    void shed(const std::string &, Span retryIn) override {
+        const auto ms = retryIn.count() / 1000;
+        say(ms > 0 ? resp::error("BUSY " + std::to_string(ms)) : resp::error("BUSY"));
+    }
+    void errored(const std::string &, bool) override { say(resp::error("ERR failed")); }
+    void completed(Call &, std::string_view answer) override { say(resp::bulk(answer)); }
+    // Values are bounded and passed on whole: these are for answers of other ways.
+    void begin(Call &) override {}
+    void write(std::string_view) override {}
+    void end() override {}
+    void abort() override { exchange->abort(); }
+    std::size_t waiting() const override { return 0; }
+
+    const Command command;
+
+  private:
+    void say(std::string bytes) {
+        free();
+        exchange->answer(std::move(bytes));
+    }
+    void free() {
+        if (!std::exchange(freed, true)) names->erase(facts.name);
+    }
+    std::shared_ptr<resp::Exchange> exchange;
+    Names names;
+    bool freed = false;
+};
+
+const Command &commandOf(const TakenReq &req) { return static_cast<const RespReq &>(req).command; }
+
+RespFront::RespFront(asio::io_context &io, const asio::ip::tcp::endpoint &at, const resp::DoorLimits &limits,
+                     const wire::BirthSettings &with, FrontOwner to)
+    : settings(with), owner(std::move(to)), names(std::make_shared<std::unordered_set<std::string>>()),
+      door(io, at, limits, [this](const std::shared_ptr<resp::Exchange> &e) { arrived(e); }) {}
+
+void RespFront::arrived(const std::shared_ptr<resp::Exchange> &exchange) {
+    auto &args = exchange->args;
+    if (!asksForReq(args)) {
+        if (args[0] == "PING" && args.size() == 1) return exchange->answer("+PONG\r\n");
+        if (args[0] == "CLIENT" || args[0] == "SELECT") return exchange->answer("+OK\r\n");
+        return exchange->refuse("ERR unknown command");
+    }
+    CommandRead read = readCommand(std::move(args), settings);
+    if (read.refusal.empty() && names->contains(read.facts.name))
+        read.refusal = "ERR the id is of an open request";
+    if (!read.refusal.empty()) {
+        owner.unrouted();
+        return exchange->refuse(read.refusal);
+    }
+    owner.arrived(std::make_shared<RespReq>(exchange, std::move(read), names));
+}
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/front.hpp
@@ -0,0 +1,35 @@
+// Clients' commands as reqs of the gateway: see gateway/ways.hpp.
+#pragma once
+
+#include <unordered_set>
+
+#include "../resp/server.hpp"
+#include "commands.hpp"
+
+namespace deckcart::platform {
+
+class RespReq;
+
+class RespFront : public Front {
+  public:
+    RespFront(asio::io_context &context, const asio::ip::tcp::endpoint &at, const resp::DoorLimits &limits,
+              const wire::BirthSettings &settings, FrontOwner owner);
+
+    asio::ip::tcp::endpoint address() const override { return door.address(); }
+    void limit() override {}
+    void drain() override { door.drain(); }
+    std::size_t connections() const override { return door.connections(); }
+
+  private:
+    void arrived(const std::shared_ptr<resp::Exchange> &exchange);
+
+    const wire::BirthSettings &settings;
+    FrontOwner owner;
+    std::shared_ptr<std::unordered_set<std::string>> names;  // ids of open reqs
+    resp::Door door;
+};
+
+// The client's command of a req that this front has taken.
+const Command &commandOf(const TakenReq &req);
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/limits.cpp
@@ -0,0 +1,32 @@
+#include "limits.hpp"
+
+#include <algorithm>
+
+namespace deckcart::platform {
+
+constexpr std::size_t kReserveLeast = 24,
+                      kReservePart = 12;  // one in so many: streams, votes, half-closed ones
+constexpr std::size_t kReqsPerMb = 32;    // 32 KiB a req: most hold far less, some two values of 64 KiB
+// A planned end: connections come for up to 0.4 s; the kill at the longest time-out, at most 3 s, and 0.7 s.
+constexpr Span kAcceptsFor = std::chrono::milliseconds(500), kLongestCounted = std::chrono::seconds(3),
+               kKillMargin = std::chrono::milliseconds(550);
+constexpr Span kRest = std::chrono::milliseconds(5);  // on one machine what comes behind comes at once
+
+Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle) {
+    Bounds out;
+    out.reserve = std::max(kReserveLeast, sockets / kReservePart);
+    const std::size_t rest = sockets > out.reserve ? sockets - out.reserve : 2;
+    // Clients with reqs hold a third of all at most; the others are room for those who only stay connected.
+    out.upstreams = std::max<std::size_t>(1, std::min(rest / 2, sockets / 3 + sockets / 12));
+    out.clients = std::max<std::size_t>(1, rest - out.upstreams);
+    out.reqsInHand = std::max<std::size_t>(1, std::min(mostReqs, memoryMb * kReqsPerMb));
+    out.idleFor = keptIdle / 2;  // the machine closes at the latest then: a req written late would be lost
+    out.restFor = kRest;
+    return out;
+}
+
+Ending ending(Span longestTimeout) {
+    return {kAcceptsFor, std::min(longestTimeout, kLongestCounted) + kKillMargin};
+}
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/platform/limits.hpp
@@ -0,0 +1,25 @@
+// Divides what a gateway's machine allows between its uses. Pure.
+#pragma once
+
+#include "../resp/server.hpp"
+#include "documents.hpp"
+
+namespace deckcart::platform {
+
+struct Bounds {
+    std::size_t clients = 0;    // connections of clients
+    std::size_t upstreams = 0;  // connections to instances, probes among them
+    std::size_t reserve = 0;    // discovery, control, signals, logs, what is being closed
+    std::size_t reqsInHand = 0;
+    Span idleFor{};  // a connection to an instance is kept idle
+    Span restFor{};  // and not used again sooner: what comes behind an answer shows itself
+};
+// How a planned end goes, from its signal on.
+struct Ending {
+    Span acceptsFor{};  // who does not know yet still comes
+    Span answersBy{};   // what is in hand then is answered as errored
+};
+Ending ending(Span longestTimeout);
+Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle);
+
+}  // namespace deckcart::platform
--- /dev/null
+++ b/src/resp/client.cpp
@@ -0,0 +1,117 @@
+#include "client.hpp"
+
+#include <array>
+
+namespace deckcart::resp {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kReadAtOnce = 16 * 1024;  // a turn's share of one connection: others wait no longer
+
+ClientConnection::ClientConnection(asio::io_context &context, Limits limits)
+    : socket(context), timer(context), parser(Parser::What::reply, limits) {}
+
+void ClientConnection::call(const tcp::endpoint &to, Span connectWithin, std::string bytes, Done tell) {
+    done = std::move(tell), outgoing = std::move(bytes), written = 0, sentAll = false;
+    const auto no = ++callNo;
+    if (connected) return send();
+    timer.expires_after(connectWithin);
+    timer.async_wait([weak = weak_from_this(), no](asio::error_code fault) {
+        const auto self = weak.lock();
+        if (!fault && self && !self->connected && self->callNo == no) self->finish(CallEnd::connectFailed);
+    });
+    socket.async_connect(to, [self = shared_from_this(), no](asio::error_code fault) {
+        if (self->closed || self->callNo != no) return;
+        // Read after its bound, as after a standstill of this process, it is late as well.
+        const bool late = self->timer.expiry() <= std::chrono::steady_clock::now();
+        self->timer.cancel();
+        if (fault || late) return self->finish(CallEnd::connectFailed);
+        self->connected = true;
+        asio::error_code ignored;
+        self->socket.set_option(tcp::no_delay(true), ignored);
+        self->socket.non_blocking(true, ignored);
+        self->send();
+    });
+}
+
+void ClientConnection::send() {
+    asio::error_code fault;
+    while (written < outgoing.size() && !fault)
+        written +=
+            socket.write_some(asio::buffer(outgoing.data() + written, outgoing.size() - written), fault);
+    awaitRead();
+    if (fault && fault != asio::error::would_block) {
+        asio::post(socket.get_executor(), [self = shared_from_this(), no = callNo] {
+            if (self->callNo == no) self->finish(CallEnd::broken);
+        });
+        return;
+    }
+    if (written == outgoing.size()) return void(sentAll = true);
+    socket.async_wait(tcp::socket::wait_write,
+                      [self = shared_from_this(), no = callNo](asio::error_code bad) {
+                          if (self->closed || self->callNo != no) return;
+                          if (bad) return self->finish(CallEnd::broken);
+                          self->send();
+                      });
+}
+
+void ClientConnection::awaitRead() {
+    if (reading || closed) return;
+    reading = true;
+    socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code fault) {
+        self->reading = false;
+        if (self->closed) return;
+        if (fault) return self->finish(CallEnd::broken);
+        self->readable();
+    });
+}
+
+void ClientConnection::readable() {
+    std::array<char, kReadAtOnce> buffer;
+    asio::error_code fault;
+    const auto n = socket.read_some(asio::buffer(buffer), fault);
+    if (fault == asio::error::would_block) return awaitRead();
+    if (fault) return finish(CallEnd::broken);
+    if (!done) return shut();  // an idle peer that speaks is out of step
+    const auto used = parser.feed({buffer.data(), n});
+    if (parser.faulty()) return finish(CallEnd::garbage);
+    if (!parser.done()) return awaitRead();
+    if (used < n) tainted = true;  // more than belongs to the reply: the reply is good, the connection not
+    const auto self = shared_from_this();
+    finish(CallEnd::complete, parser.take());
+    awaitRead();
+}
+
+bool ClientConnection::stillQuiet() {
+    char byte = 0;
+    asio::error_code fault;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
+    if (fault == asio::error::would_block) return true;
+    onIdleClosed = nullptr;
+    shut();
+    return false;
+}
+
+void ClientConnection::finish(CallEnd how, Value value) {
+    const auto self = shared_from_this();
+    const Done tell = std::exchange(done, nullptr);
+    if (how != CallEnd::complete || tainted || !sentAll) shut();
+    if (tell) tell(how, std::move(value));
+}
+
+void ClientConnection::drop() {
+    done = nullptr;
+    onIdleClosed = nullptr;
+    shut();
+}
+
+void ClientConnection::shut() {
+    if (closed) return;
+    closed = true, connected = false, ++callNo;
+    asio::error_code ignored;
+    socket.close(ignored);
+    timer.cancel();
+    if (onIdleClosed) asio::post(socket.get_executor(), std::exchange(onIdleClosed, nullptr));
+}
+
+}  // namespace deckcart::resp
--- /dev/null
+++ b/src/resp/client.hpp
@@ -0,0 +1,55 @@
+// The calling side of RESP2 on Asio: one connection that carries one command at a time and knows whether the
+// command's last byte was handed to the socket. Sends nothing again.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+
+#include "../base/clock.hpp"
+#include "message.hpp"
+
+namespace deckcart::resp {
+
+enum class CallEnd {
+    complete,       // the whole reply came
+    connectFailed,  // no connection: nothing was handed over
+    broken,         // the connection failed or closed before the reply's end
+    garbage         // what came is no reply
+};
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+  public:
+    using Done = std::function<void(CallEnd, Value)>;
+    ClientConnection(asio::io_context &context, Limits limits);
+
+    // Connects within the time if it is not connected, then sends. Calls back once, never from within,
+    // unless dropped before.
+    void call(const asio::ip::tcp::endpoint &to, Span connectWithin, std::string bytes, Done done);
+    void drop();  // closes at once; no call back any more
+    bool reusable() const { return connected && !closed && !done && !tainted; }
+    // Looks whether the peer has closed or spoken while idle: then it is dropped and false.
+    bool stillQuiet();
+    bool handedOver() const { return sentAll; }  // the present command's last byte
+    std::uint64_t callNumber() const { return callNo; }
+    std::function<void()> onIdleClosed;  // it has closed, or spoken, while idle
+    Span idleSince{};
+
+  private:
+    void send();
+    void awaitRead();
+    void readable();
+    void finish(CallEnd how, Value value = {});
+    void shut();
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer timer;
+    Parser parser;
+    Done done;
+    std::string outgoing;
+    std::size_t written = 0;
+    bool connected = false, closed = false, reading = false, sentAll = false, tainted = false;
+    std::uint64_t callNo = 0;
+};
+
+}  // namespace deckcart::resp
--- /dev/null
+++ b/src/resp/server.cpp
@@ -0,0 +1,358 @@
+#include "server.hpp"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <set>
+
+namespace deckcart::resp {
+
+using asio::ip::tcp;
+using Time = std::chrono::steady_clock::time_point;
+
+constexpr auto kSweepEvery = std::chrono::milliseconds(100), kAcceptRetry = std::chrono::milliseconds(20);
+constexpr std::size_t kSwallowed = 256 * 1024;  // of a refused peer's bytes: then its connection is cut
+constexpr int kAcceptsAtOnce = 32;              // a turn's share: floods don't hold up who is connected
+
+struct Door::Core : std::enable_shared_from_this<Door::Core> {
+    Core(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &most, Handler take)
+        : context(io), acceptor(io), limits(most), handler(std::move(take)), retry(io), sweeper(io) {
+        acceptor.open(at.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(at);
+        acceptor.listen(1024);
+        acceptor.non_blocking(true);
+        local = acceptor.local_endpoint();
+    }
+    void accept();
+    void take();
+    void sweep();
+    bool makeRoom();
+
+    asio::io_context &context;
+    tcp::acceptor acceptor;
+    tcp::endpoint local;
+    DoorLimits limits;
+    Handler handler;
+    asio::steady_timer retry, sweeper;
+    std::set<std::shared_ptr<ServerConnection>> open;
+    bool draining = false, closed = false;
+    std::array<char, 16 * 1024> buffer;  // shared: an idle connection holds none of its own
+};
+
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+  public:
+    ServerConnection(std::shared_ptr<Door::Core> of, tcp::socket with)
+        : door(std::move(of)), socket(std::move(with)), parser(Parser::What::command, door->limits.message),
+          since(std::chrono::steady_clock::now()) {
+        asio::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored);
+    }
+
+    void read() {
+        if (closed || reading || faulty || !pending.empty() || !mayRead()) return;
+        reading = true;
+        socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code fault) {
+            self->reading = false;
+            if (self->closed) return;
+            if (fault) return self->shut(false);
+            self->readable();
+        });
+    }
+
+    // Whoever can make room under pressure, the least missed first; 0: it can't.
+    int dispensable(Time now) const {
+        if (lingering) return 4;
+        if (!slots.empty()) return slots.front()->refused ? 2 : 0;
+        if (!spoke) return 3;
+        return !parser.begun() && now - since > door->limits.pressedIdleFor ? 1 : 0;
+    }
+    Time lastActive() const { return since; }
+
+    void drain() {
+        if (slots.empty() && !parser.begun() && pending.empty()) linger();
+    }
+
+    void sweep(Time now, bool pressed) {
+        const auto &most = door->limits;
+        if (!slots.empty() && refuseAt != Time{} && now >= refuseAt) return refusalDue();
+        if (lingering) {
+            if (now >= since + most.lingerFor) shut(false);
+            return;
+        }
+        if (outgoing.size() > gone && now - progress > most.slowPeerFor) return shut(true);
+        if (!slots.empty() || !outgoing.empty()) return;
+        if (parser.begun()) {
+            if (now - began > most.messageWithin) fail("the command is not complete in time");
+        } else if (now - since > (!spoke ? most.silentFor : pressed ? most.pressedIdleFor : most.idleFor))
+            linger();
+    }
+
+    void shut(bool reset) {
+        if (closed) return;
+        closed = true;
+        const auto self = shared_from_this();
+        asio::error_code ignored;
+        if (reset) socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+        door->open.erase(self);
+        for (const auto &slot : std::exchange(slots, {})) {
+            slot->connection.reset();
+            if (const auto tell = std::exchange(slot->onGone, nullptr); tell && !slot->answered) tell();
+        }
+    }
+
+    void answered() {
+        if (closed) return;
+        bool any = false;
+        while (!slots.empty() && slots.front()->answered) {
+            outgoing += slots.front()->reply;
+            if (slots.front()->refused) refuseAt = {};
+            slots.pop_front();
+            any = true;
+        }
+        if (!any) return;
+        since = std::chrono::steady_clock::now();
+        write();
+    }
+    void refusal() { refuseAt = std::chrono::steady_clock::now() + door->limits.refusalAfter; }
+
+  private:
+    bool mayRead() const {
+        return refuseAt == Time{} && slots.size() < door->limits.pipelined &&
+               outgoing.size() - gone < door->limits.waitingBytes;
+    }
+
+    void readable() {
+        asio::error_code fault;
+        const auto n = socket.read_some(asio::buffer(door->buffer), fault);
+        if (fault == asio::error::would_block) return read();
+        if (fault) {
+            // A peer that ends its sending is gone, but for the errors that it is owed.
+            while (!closed && !slots.empty() && slots.front()->refused && !slots.front()->answered)
+                refusalDue();
+            return shut(false);
+        }
+        if (lingering) {
+            swallowed += n;
+            return swallowed > kSwallowed ? shut(false) : read();
+        }
+        if (!spoke || slots.empty()) since = std::chrono::steady_clock::now();
+        spoke = true;
+        const auto self = shared_from_this();
+        feed({door->buffer.data(), n});
+        read();
+    }
+
+    void feed(std::string_view bytes) {
+        while (!bytes.empty() && !closed && !faulty) {
+            if (!mayRead()) return void(pending.append(bytes));
+            if (!parser.begun()) began = std::chrono::steady_clock::now();
+            bytes.remove_prefix(parser.feed(bytes));
+            if (parser.faulty()) return fail(parser.fault());
+            if (!parser.done()) continue;
+            const auto made = std::make_shared<Exchange>();
+            made->args.reserve(8);
+            for (auto &item : parser.take().items) made->args.push_back(std::move(*item));
+            made->connection = weak_from_this();
+            slots.push_back(made);
+            // The buffer is shared: what is left of it must not be lost if the handler comes back here.
+            const std::string rest(bytes);
+            door->handler(made);
+            if (rest.empty()) return;
+            if (closed || faulty) return;
+            return feedLater(rest);
+        }
+    }
+    // Goes on with what was read ahead on a turn of its own, so that a long pipeline neither nests nor holds
+    // up others.
+    void feedLater(const std::string &rest) {
+        pending.insert(0, rest);
+        goOn();
+    }
+    void goOn() {
+        if (goingOn || pending.empty() || closed || faulty || !mayRead()) return;
+        goingOn = true;
+        asio::post(socket.get_executor(), [self = shared_from_this()] {
+            self->goingOn = false;
+            if (self->closed || self->faulty || !self->mayRead()) return;
+            const std::string ahead = std::exchange(self->pending, {});
+            self->feed(ahead);
+            self->read();
+        });
+    }
+
+    // What can't be read: what was taken before is still answered, then the words, then the end.
+    void fail(const std::string &words) {
+        faulty = true;
+        pending.clear();
+        const auto made = std::make_shared<Exchange>();
+        made->connection = weak_from_this();
+        slots.push_back(made);
+        made->refuse("ERR " + words);
+    }
+    void refusalDue() {
+        refuseAt = {};
+        for (const auto &slot : slots)
+            if (slot->refused && !slot->answered) {
+                slot->answered = true;
+                answered();
+                if (!slots.empty() && refuseAt == Time{}) read(), goOn();
+                return;
+            }
+    }
+
+    void write() {
+        if (writing || closed) return;
+        asio::error_code fault;
+        const auto before = gone;
+        while (gone < outgoing.size() && !fault)
+            gone += socket.write_some(asio::buffer(outgoing.data() + gone, outgoing.size() - gone), fault);
+        if (fault && fault != asio::error::would_block) {
+            // Not from within the writer's own call: it would be told before its call returns.
+            asio::post(socket.get_executor(), [self = shared_from_this()] { self->shut(false); });
+            return;
+        }
+        if (gone > before || before == 0) progress = std::chrono::steady_clock::now();
+        if (gone == outgoing.size()) {
+            outgoing.clear(), gone = 0;
+            if (outgoing.capacity() > 4096) outgoing.shrink_to_fit();
+            if (slots.empty() && (faulty || (door->draining && !parser.begun() && pending.empty())))
+                return linger();
+            read(), goOn();
+            return;
+        }
+        writing = true;
+        socket.async_wait(tcp::socket::wait_write, [self = shared_from_this()](asio::error_code bad) {
+            self->writing = false;
+            if (self->closed) return;
+            if (bad) return self->shut(false);
+            self->write();
+        });
+        read(), goOn();
+    }
+
+    // Lets the peer read what was said before the connection goes: unread bytes would turn it into a reset.
+    void linger() {
+        if (closed || lingering) return;
+        lingering = true, faulty = false;
+        since = std::chrono::steady_clock::now(), refuseAt = {};
+        asio::error_code ignored;
+        socket.shutdown(tcp::socket::shutdown_send, ignored);
+        read();
+    }
+
+    std::shared_ptr<Door::Core> door;
+    tcp::socket socket;
+    Parser parser;
+    std::deque<std::shared_ptr<Exchange>> slots;  // commands in hand, in order
+    std::string pending, outgoing;                // read ahead; not written yet
+    std::size_t gone = 0, swallowed = 0;          // of outgoing: written
+    Time since, began{}, progress{}, refuseAt{};
+    bool reading = false, writing = false, closed = false, faulty = false, lingering = false, spoke = false,
+         goingOn = false;
+};
+
+// ---- Exchange ----
+
+void Exchange::answer(std::string bytes) {
+    if (answered) return;
+    answered = true, reply = std::move(bytes), onGone = nullptr;
+    if (const auto to = connection.lock()) to->answered();
+}
+void Exchange::refuse(std::string_view words) {
+    if (answered || refused) return;
+    refused = true, reply = error(words), onGone = nullptr;
+    if (const auto to = connection.lock()) to->refusal();
+}
+void Exchange::abort() {
+    answered = true;
+    if (const auto to = connection.lock()) to->shut(true);
+}
+
+// ---- Door ----
+
+void Door::Core::accept() {
+    if (draining || closed) return;
+    acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](asio::error_code fault) {
+        if (fault || self->closed || self->draining) return;
+        self->take();
+    });
+}
+
+void Door::Core::take() {
+    for (int k = 0; k < kAcceptsAtOnce; ++k) {
+        const bool room = open.size() < limits.connections || makeRoom();
+        asio::error_code fault;
+        tcp::socket socket(context);
+        if (room) acceptor.accept(socket, fault);
+        if (room && fault == asio::error::would_block) return accept();
+        if (!room || fault) {  // out of places or of descriptors
+            retry.expires_after(kAcceptRetry);
+            retry.async_wait([self = shared_from_this()](asio::error_code stopped) {
+                if (!stopped && !self->closed && !self->draining) self->take();
+            });
+            return;
+        }
+        const auto made = std::make_shared<ServerConnection>(shared_from_this(), std::move(socket));
+        open.insert(made);
+        made->read();
+    }
+    accept();
+}
+
+bool Door::Core::makeRoom() {
+    const Time now = std::chrono::steady_clock::now();
+    std::shared_ptr<ServerConnection> which;
+    int least = 0;
+    for (const auto &one : open) {
+        const int how = one->dispensable(now);
+        if (how > least || (how == least && how > 0 && one->lastActive() < which->lastActive()))
+            which = one, least = how;
+    }
+    if (which) which->shut(false);
+    return which != nullptr;
+}
+
+void Door::Core::sweep() {
+    if (closed) return;
+    const Time now = std::chrono::steady_clock::now();
+    const bool pressed = open.size() * 4 > limits.connections * 3;
+    const std::vector<std::shared_ptr<ServerConnection>> all(open.begin(), open.end());
+    for (const auto &one : all) one->sweep(now, pressed);
+    sweeper.expires_after(kSweepEvery);
+    sweeper.async_wait([weak = weak_from_this()](asio::error_code fault) {
+        if (const auto self = weak.lock(); self && !fault) self->sweep();
+    });
+}
+
+Door::Door(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &limits, Handler handler)
+    : core(std::make_shared<Core>(io, at, limits, std::move(handler))) {
+    core->accept();
+    core->sweep();
+}
+
+Door::~Door() {
+    core->closed = true;
+    core->handler = [](const std::shared_ptr<Exchange> &) {};
+    asio::error_code ignored;
+    core->acceptor.close(ignored);
+    core->retry.cancel(), core->sweeper.cancel();
+    const std::vector<std::shared_ptr<ServerConnection>> all(core->open.begin(), core->open.end());
+    for (const auto &one : all) one->shut(false);
+}
+
+tcp::endpoint Door::address() const { return core->local; }
+std::size_t Door::connections() const { return core->open.size(); }
+
+void Door::drain() {
+    core->draining = true;
+    asio::error_code ignored;
+    core->acceptor.close(ignored);
+    core->retry.cancel();
+    const std::vector<std::shared_ptr<ServerConnection>> all(core->open.begin(), core->open.end());
+    for (const auto &one : all) one->drain();
+}
+
+}  // namespace deckcart::resp
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -81,12 +81,11 @@
     }
 }
 
-StartValues startValues(const json &event) {
-    const json &from = field(event, "Params");
+StartValues startValues(const json &from, std::uint64_t seed) {
     const json &family = part(from, "FamilyInfo"), &limits = part(from, "Limits"),
                &safety = part(from, "Safety");
     StartValues v;
-    v.seed = need<std::uint64_t>(event, "Seed");
+    v.seed = seed;
     v.gateways = may<int>(from, "GroupSize", 1);
     v.zone = may<int>(from, "Locality");
     for (const auto &grade : rows(from, "Grades")) {
@@ -162,6 +161,26 @@
 
 }  // namespace
 
+BirthSettings readSettings(const json &from, std::uint64_t seed) {
+    if (!from.is_object()) throw BadBatch("the settings are no object");
+    BirthSettings out;
+    out.start = startValues(from, seed);
+    for (const auto &grade : rows(from, "Grades")) {
+        out.routes.push_back(need<std::string>(grade, "Name"));
+        out.routeTimeouts.push_back(needSpan(grade, "DeadlineS"));
+    }
+    for (const auto &realm : rows(from, "Realms")) out.accounts.push_back(need<std::string>(realm, "Name"));
+    for (const auto &zone : rows(from, "FailureDomains"))
+        out.zones.push_back(as<std::string>(zone, "FailureDomains"));
+    for (const auto &name : rows(part(from, "Report"), "Fields"))
+        out.loadFields.push_back(as<std::string>(name, "Fields"));
+    const json &limits = part(from, "Limits");
+    out.keptIdle = needSpan(limits, "KeepaliveS"), out.connectWithin = needSpan(limits, "ConnectTimeoutS");
+    out.reqsInHand = std::size_t(std::max(1, may<int>(limits, "MostHeld", 4096)));
+    if (out.routes.empty()) throw BadBatch("field Grades is empty");
+    return out;
+}
+
 Batch Reader::read(const std::string &line) {
     const json root = json::parse(line, nullptr, false);
     if (root.is_discarded()) throw BadBatch("the line is not JSON");
@@ -186,7 +205,8 @@
         auto &out = batch.instances[place->second].events;
         const auto req = [&] { return need<ReqId>(event, "Req"); };
         const auto server = [&] { return need<std::string>(event, "Instance"); };
-        if (kind == "INIT") out.push_back(Started{startValues(event)});
+        if (kind == "INIT")
+            out.push_back(Started{startValues(field(event, "Params"), need<std::uint64_t>(event, "Seed"))});
         else if (kind == "DETACH") out.push_back(Stopped{});
         else if (kind == "PEERS_KNOWN") {
             const auto form = need<std::string>(event, "Form");
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -22,6 +22,20 @@
     std::vector<Happened> instances;  // in the order of each one's first event
 };
 
+// The settings that an instance is born with, as a real gateway finds them as well: what the module starts
+// with, and what a data path needs beside that.
+struct BirthSettings {
+    StartValues start;
+    std::vector<std::string> routes, accounts, zones;  // names, in the order of the module's numbers
+    std::vector<Span> routeTimeouts;
+    std::vector<std::string> loadFields;  // of a load report, in order
+    Span keptIdle{};                      // connections to instances: closed when idle for so long
+    Span connectWithin{};
+    std::size_t reqsInHand = 0;
+};
+// Throws BadBatch, which names the field.
+BirthSettings readSettings(const nlohmann::json &settings, std::uint64_t seed);
+
 class Reader {
   public:
     Batch read(const std::string &line);
