Answers that can't be read bind their key; waits follow the platform's shorter stages

The logged reqs (--req-sample) show the key's last try at the newer build as 'error': an answer spoilt on its way, at RespCall's mapping of garbage to Outcome::error and Record::settle binding keys at ok alone. All oks were honoured, which rules out the binding itself. Such tries are now Outcome::unreadable: they bind the key, are a connection's trouble and no evidence on a build. What has come is read before a try is given up.

Record::place now sends a failed req to the trial beyond 0.7 of the cap no more where keys stay.

Seen: good builds not released before the next was due (5.25 s a stage of the 12.5 s there are). Waits on a stage shrink with LeastStageS, and answers are no evidence only while servers may be cold.

Seen: ids of reqs that had just been answered came again and failed six times each, one 'back' for failures on that. Ids are known for a route timeout more.

--- a/include/deckcart/policy.hpp
+++ b/include/deckcart/policy.hpp
@@ -19,7 +19,8 @@
 using ServerId = std::string;
 using BuildNo = int;
 
-enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot };
+// unreadable: an answer has begun that can't be read to its end; the instance may have given a good one
+enum class Outcome { ok, error, full, timeout, connectFailed, reset, cancelled, moot, unreadable };
 enum class Effect { retriable, deduped, nonRetriable };
 enum class Group { all, zone, cell };
 enum class Readiness { live, draining, gone };
@@ -66,6 +67,7 @@
     Span exposureSpan{};
     std::vector<double> exposureCaps;
     std::vector<double> stageShares;
+    Span leastStage{};  // a stage lasts so long at least; 0: not told
     Span voteLife{};
     Span voteAnswerWithin{};
     int votesToGoBack = 1;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -63,6 +63,7 @@
     case Outcome::reset: return "reset";
     case Outcome::cancelled: return "cancelled";
     case Outcome::moot: return "moot";
+    case Outcome::unreadable: return "unreadable";
     }
     return "moot";
 }
@@ -330,6 +331,11 @@
     if (it == reqs.end()) return;
     Req &rq = *it->second;
     const Span at = lastSeen;
+    for (std::size_t k = 0; k < rq.tries.size(); ++k)
+        if (!rq.tries[k].over && at >= rq.told) {
+            std::shared_ptr(rq.tries[k].call)->look();  // what has come in time is no time-out
+            if (!reqs.contains(id)) return;
+        }
     for (std::size_t k = 0; k < rq.tries.size(); ++k)
         if (!rq.tries[k].over && !rq.tries[k].streaming && at >= rq.told) {
             tryEnded(id, int(k), Outcome::timeout);
@@ -362,9 +368,12 @@
         return;
     nlohmann::json tries = nlohmann::json::array();
     for (const Try &t : rq.tries)
-        tries.push_back(
-            {{"instance", t.server}, {"build", t.build}, {"outcome", t.over ? nameOf(t.how) : "out"}});
+        tries.push_back({{"instance", t.server},
+                         {"build", t.build},
+                         {"outcome", t.over ? nameOf(t.how) : "out"},
+                         {"sentMs", milliseconds(t.sent - rq.came)}});
     log.info("req", {{"req", rq.name},
+                     {"key", rq.taken->facts.key},
                      {"route", given.routes[rq.taken->facts.route].name},
                      {"end", end},
                      {"tries", std::move(tries)},
@@ -452,7 +461,12 @@
                 if (it == reqs.end() || std::size_t(a.tryNo) >= it->second->tries.size()) return;
                 // An answer that the client is getting is not withdrawn.
                 const Try &t = it->second->tries[std::size_t(a.tryNo)];
-                if (!t.over && !(t.streaming && !it->second->answered))
+                // Nor is one that has come and only waits to be read: its outcome is on its way.
+                if (!t.over) std::shared_ptr(t.call)->look();
+                const auto again = reqs.find(a.req);
+                if (again == reqs.end()) return;
+                const Try &still = again->second->tries[std::size_t(a.tryNo)];
+                if (!still.over && !(still.streaming && !again->second->answered))
                     tryEnded(a.req, a.tryNo, Outcome::cancelled);
             },
             [&](const Shed &a) {
--- a/src/gateway/http_ways.cpp
+++ b/src/gateway/http_ways.cpp
@@ -198,7 +198,7 @@
         // as the req goes out has taken them: it may have run.
         const bool none = how == http::CallEnd::connectFailed || !connection->handedOver();
         owner->onCallEnd(none                            ? Outcome::connectFailed
-                         : how == http::CallEnd::garbage ? Outcome::error
+                         : how == http::CallEnd::garbage ? Outcome::unreadable
                                                          : Outcome::reset);
     }
 
--- a/src/gateway/ways.hpp
+++ b/src/gateway/ways.hpp
@@ -64,6 +64,8 @@
     virtual bool handedOver() const = 0;
     // Of a call that has ended its connection may serve on; else it is closed at once.
     virtual void release(Span now) = 0;
+    // Reads what has come already, which may end it: before it is given up.
+    virtual void look() {}
     virtual void pause() {}
     virtual void resume() {}
 };
--- a/src/platform/commands.cpp
+++ b/src/platform/commands.cpp
@@ -86,7 +86,7 @@
     // The value, null, the load report or null.
     const bool shaped =
         reply.kind == Kind::array && reply.items.size() == 3 && reply.items[0] && !reply.items[1];
-    if (!shaped) return {Outcome::error, {}};
+    if (!shaped) return {Outcome::unreadable, {}};
     return {Outcome::ok, std::move(*reply.items[0])};
 }
 
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -6,11 +6,10 @@
 
 class RespReq : public TakenReq {
   public:
-    using Names = std::shared_ptr<std::unordered_set<std::string>>;
-    RespReq(std::shared_ptr<resp::Exchange> e, CommandRead read, Names open)
-        : command(std::move(read.command)), exchange(std::move(e)), names(std::move(open)) {
+    using Names = std::shared_ptr<OpenNames>;
+    RespReq(const Clock &time, std::shared_ptr<resp::Exchange> e, CommandRead read, Names open)
+        : command(std::move(read.command)), clock(time), exchange(std::move(e)), names(std::move(open)) {
         facts = std::move(read.facts);
-        names->insert(facts.name);
         exchange->onGone = [this] {
             free();
             if (const auto tell = onGone) tell();
@@ -43,8 +42,9 @@
         exchange->answer(std::move(bytes));
     }
     void free() {
-        if (!std::exchange(freed, true)) names->erase(facts.name);
+        if (!std::exchange(freed, true)) names->ended(facts.name, clock.now());
     }
+    const Clock &clock;
     std::shared_ptr<resp::Exchange> exchange;
     Names names;
     bool freed = false;
@@ -52,9 +52,31 @@
 
 const Command &commandOf(const TakenReq &req) { return static_cast<const RespReq &>(req).command; }
 
-RespFront::RespFront(asio::io_context &io, const asio::ip::tcp::endpoint &at, const resp::DoorLimits &limits,
-                     const wire::BirthSettings &with, FrontOwner to)
-    : settings(with), owner(std::move(to)), names(std::make_shared<std::unordered_set<std::string>>()),
+bool OpenNames::open(const std::string &name, Span now) {
+    forget(now);
+    return names.insert(name).second;
+}
+void OpenNames::ended(const std::string &name, Span now) {
+    over.push_back({now, name});
+    forget(now);
+}
+void OpenNames::forget(Span now) {
+    for (; !over.empty() && now - over.front().first > kept; over.pop_front())
+        names.erase(over.front().second);
+}
+
+namespace {
+Span longest(const std::vector<Span> &all) {
+    Span most{};
+    for (const Span one : all) most = std::max(most, one);
+    return most;
+}
+}  // namespace
+
+RespFront::RespFront(asio::io_context &io, const Clock &time, const asio::ip::tcp::endpoint &at,
+                     const resp::DoorLimits &limits, const wire::BirthSettings &with, FrontOwner to)
+    : clock(time), settings(with), owner(std::move(to)),
+      names(std::make_shared<OpenNames>(longest(with.routeTimeouts))),
       door(io, at, limits, [this](const std::shared_ptr<resp::Exchange> &e) { arrived(e); }) {}
 
 void RespFront::arrived(const std::shared_ptr<resp::Exchange> &exchange) {
@@ -65,13 +87,13 @@
         return exchange->refuse("ERR unknown command");
     }
     CommandRead read = readCommand(std::move(args), settings);
-    if (read.refusal.empty() && names->contains(read.facts.name))
-        read.refusal = "ERR the id is of an open request";
+    if (read.refusal.empty() && !names->open(read.facts.name, clock.now()))
+        read.refusal = "ERR the id is of another request";
     if (!read.refusal.empty()) {
         owner.unrouted();
         return exchange->refuse(read.refusal);
     }
-    owner.arrived(std::make_shared<RespReq>(exchange, std::move(read), names));
+    owner.arrived(std::make_shared<RespReq>(clock, exchange, std::move(read), names));
 }
 
 }  // namespace deckcart::platform
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -33,8 +33,8 @@
     std::unique_ptr<Front> front(const GatewayOrders &, FrontOwner owner) const override {
         resp::DoorLimits limits;
         limits.connections = bounds.clients;
-        return std::make_unique<RespFront>(context, *parseAddress(start.listen), limits, start.settings,
-                                           std::move(owner));
+        return std::make_unique<RespFront>(context, clock, *parseAddress(start.listen), limits,
+                                           start.settings, std::move(owner));
     }
     std::unique_ptr<Upstreams> upstreams(const GatewayOrders &) const override {
         auto out = std::make_unique<RespUpstreams>(context, clock, directory, bounds, start.settings);
@@ -79,9 +79,9 @@
 
 class Service {
   public:
-    Service(std::string from, LogForm form)
-        : file(std::move(from)), log(form, "gateway"), signals(context, SIGTERM, SIGINT, SIGHUP),
-          timer(context), reporter(context) {}
+    Service(std::string from, LogForm form, double sample)
+        : file(std::move(from)), reqSample(sample), log(form, "gateway"),
+          signals(context, SIGTERM, SIGINT, SIGHUP), timer(context), reporter(context) {}
 
     int run() {
         std::signal(SIGPIPE, SIG_IGN);
@@ -94,9 +94,10 @@
         const auto bounds =
             divide(start.sockets, start.memoryMb, start.settings.reqsInHand, start.settings.keptIdle);
         ways = std::make_unique<PlatformWays>(context, clock, start, bounds, log);
+        GatewayOrders orders = ordersOf(start, bounds);
+        orders.reqSample = reqSample;
         try {
-            gateway =
-                std::make_unique<Gateway>(context, clock, ordersOf(start, bounds), start.seed, log, *ways);
+            gateway = std::make_unique<Gateway>(context, clock, std::move(orders), start.seed, log, *ways);
         } catch (const std::system_error &fault) {
             log.warn("listen", {{"address", start.listen}, {"fault", fault.what()}});
             return 1;
@@ -186,6 +187,7 @@
     }
 
     std::string file;
+    double reqSample;
     Log log;
     SteadyClock clock;
     asio::io_context context{1};
@@ -199,6 +201,8 @@
 
 }  // namespace
 
-int runGateway(const std::string &file, LogForm logs) { return Service(file, logs).run(); }
+int runGateway(const std::string &file, LogForm logs, double reqSample) {
+    return Service(file, logs, reqSample).run();
+}
 
 }  // namespace deckcart::platform
--- a/src/platform/upstreams.cpp
+++ b/src/platform/upstreams.cpp
@@ -17,21 +17,24 @@
     ~RespCall() override { release({}); }
 
     void start(const TakenReq &req, const std::string &, Span left, BuildNo, CallOwner *owner) override {
-        connection->call(place.address, upstreams.settings.connectWithin,
-                         instanceCommand(commandOf(req), left),
-                         [this, owner](resp::CallEnd how, resp::Value reply) {
-                             if (how != resp::CallEnd::complete)
-                                 return owner->onCallEnd(how == resp::CallEnd::garbage ? Outcome::error
-                                                         : connection->handedOver()    ? Outcome::reset
-                                                                                    : Outcome::connectFailed);
-                             ReplyRead read = readReply(std::move(reply));
-                             // What came is no answer of an instance: more may follow.
-                             if (read.how == Outcome::error) connection->drop();
-                             if (read.how == Outcome::ok) owner->onAnswer(read.value);
-                             owner->onCallEnd(read.how);
-                         });
+        connection->call(
+            place.address, upstreams.settings.connectWithin, instanceCommand(commandOf(req), left),
+            [this, owner](resp::CallEnd how, resp::Value reply) {
+                // One that breaks off within its answer is as one that can't be read.
+                if (how != resp::CallEnd::complete)
+                    return owner->onCallEnd(how == resp::CallEnd::garbage || connection->answerBegun()
+                                                ? Outcome::unreadable
+                                            : connection->handedOver() ? Outcome::reset
+                                                                       : Outcome::connectFailed);
+                ReplyRead read = readReply(std::move(reply));
+                // What came is no answer of an instance: more may follow.
+                if (read.how == Outcome::unreadable) connection->drop();
+                if (read.how == Outcome::ok) owner->onAnswer(read.value);
+                owner->onCallEnd(read.how);
+            });
     }
     bool handedOver() const override { return connection->handedOver(); }
+    void look() override { connection->look(); }
     void release(Span) override {
         if (std::exchange(released, true)) return;
         if (alive.expired()) return connection->drop();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -62,6 +62,8 @@
 constexpr double kPooledFails = 0.1;  // of its trial tries failed or wrong: two of a good build's are rare
 constexpr double kPooledSlow = 1.4, kPooledLeast = 4;  // slower by this factor, on so many answers of each
 constexpr double kPooledHold = 1, kPooledBack = 2;     // and by so many standard errors: no quiet; 'back'
+constexpr Span kStageTuned =
+    1500ms;  // the waits on a stage rest on a least stage of this; shorter ones shrink them
 constexpr Span kMootRetry = 1s, kVoteRetry = 250ms;  // pauses: the stage has passed or is young; turned away
 
 double secs(Span s) { return std::chrono::duration<double>(s).count(); }
@@ -356,7 +358,7 @@
                 if (isNew) count.lastStart = std::max(count.lastStart, s->entry.startedAt.value_or(Span{0}));
                 count.places += v.replacedInPlace || !isNew;
                 count.anyCold = count.anyCold || cold(*s);
-                if (s->age(now) >= kColdEvidence && !aside(*s)) slow.push_back(slowness(*s));
+                if (s->age(now) >= coldEvidence() && !aside(*s)) slow.push_back(slowness(*s));
             }
         // Servers that have left since gave some of these answers: who is left did not bear them all.
         forget(done, now - v.overloadFor, [](const auto &entry) { --entry.second->given; });
@@ -374,6 +376,17 @@
         return told && b == news.build && lastTold.build == b ? std::min(news.step, lastTold.step) : 0;
     }
 
+    // Exception where the platform's stages are shorter than those that the waits were tuned for: they shrink
+    // alike, or no good build could be released before the next is due. Harm: less evidence on each stage.
+    Span paced(Span wait) const {
+        if (v.leastStage <= Span{0} || v.leastStage >= kStageTuned) return wait;
+        return Span{wait.count() * v.leastStage.count() / kStageTuned.count()};
+    }
+    // Answers of servers younger than this are no evidence; no longer than the settings call them cold.
+    Span coldEvidence() const {
+        return v.warmWithin > Span{0} ? std::min(kColdEvidence, v.warmWithin + kWindowSpan) : kColdEvidence;
+    }
+
     // ---- the rules: the one place that every send passes ----
     bool passes(const Req &rq, Server &s) {
         const Route &rt = route(rq);
@@ -476,6 +489,16 @@
         return (std::max(double(s.out.size()), others) + 1) * slowness(s) * far / (weight * warmth(s));
     }
 
+    // Exception where keys stay with the trial build once it has answered: what fails on the earlier one is
+    // not sent there beyond 0.7 of the cap. Guards against keys that failures bind, until they ask for more
+    // than the cap and their reqs are held. Harm: fewer pairs that speak for the trial build.
+    bool hasRoom(int route) const {
+        const auto at = trials.find(news.build);
+        if (at == trials.end()) return true;
+        const std::size_t c = counted(route);
+        return double(at->second[c].size()) < kHashShare * cap(news.build) * double(taken[c].size());
+    }
+
     // The builds in the order in which this req should try them.
     std::vector<BuildNo> place(const Req &rq) const {
         const BuildNo base = baseBuild();
@@ -486,7 +509,9 @@
             const std::string &key = rq.in.key.empty() ? std::to_string(rq.in.req) : rq.in.key;
             toTrial = place01(key, std::uint64_t(rev)) < trialShare();
             // A failed req's next try goes to the other build.
-            if (!rq.tries.empty()) toTrial = onTrial(rq.tries.back().build) ? false : true;
+            if (!rq.tries.empty())
+                toTrial =
+                    onTrial(rq.tries.back().build) ? false : toTrial || !v.keysStay || hasRoom(rq.in.route);
         }
         std::vector<BuildNo> order;
         if (toTrial) order.push_back(rev);
@@ -560,7 +585,7 @@
 
     void send(Req &rq, Server &s) {
         if (!passes(rq, s)) return;
-        rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < kColdEvidence});
+        rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < coldEvidence()});
         s.out.insert({now, rq.in.req});
         if (cold(s)) s.coldSends.push_back(now);
         if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
@@ -722,6 +747,11 @@
         Server &s = *t.server;
         const auto r = std::size_t(rq.in.route);
         const double took = secs(now - t.sent);
+        // An answer that can't be read may be a good one: its key stays as well. Harm: a key bound to a bad
+        // build.
+        const bool answered = end.how == Outcome::ok || end.how == Outcome::unreadable;
+        if (answered && v.keysStay && !rq.in.key.empty() && t.build > allStay)
+            stays[rq.in.key] = std::max(stays[rq.in.key], t.build);
         if (end.how == Outcome::ok) {
             const double ratio = took / usual[r];
             const double keep = std::exp(-secs(now - s.slownessAt) / kLatencyFade);
@@ -732,19 +762,17 @@
                 const double gain = std::max(0.01, 1.0 / (1 + usualSeen[r]++));
                 usual[r] += gain * (took - usual[r]);
             }
-            if (v.keysStay && !rq.in.key.empty() && !rq.answered && t.build > allStay)
-                stays[rq.in.key] = std::max(stays[rq.in.key], t.build);
             if (!t.cold) done.push_back({now, &s}), ++s.given;
-        } else if (end.how == Outcome::error || end.how == Outcome::full) s.unanswered = 0;
+        } else if (end.how == Outcome::error || end.how == Outcome::full || answered) s.unanswered = 0;
         else if (end.how == Outcome::reset || end.how == Outcome::connectFailed || silent(s, t))
             unanswered(s);
-        if (end.how == Outcome::ok || end.how == Outcome::error || end.how == Outcome::full)
-            s.answeredAt = now;
+        if (answered || end.how == Outcome::error || end.how == Outcome::full) s.answeredAt = now;
         evidence(rq, t, end, took / usual[r]);
     }
 
     void evidence(const Req &rq, const Try &t, const TryEnded &end, double ratio) {
-        if (!told || provesNotRun(end.how)) return;
+        // What can't be read is a connection's trouble, of either build alike.
+        if (!told || provesNotRun(end.how) || end.how == Outcome::unreadable) return;
         if (news.phase != Phase::onTrial && news.phase != Phase::released) return;
         // Of one that went back before this one came: neither the trial nor what it is held against. Guards
         // against its late failures hiding the next one's. Harm: none seen.
@@ -935,7 +963,7 @@
     // When the clock of the stage has started, as far as the list tells; empty while machines are missing.
     std::optional<Span> clockStart() const {
         if (count.fresh + 0.5 >= stageShare() * count.places)
-            return std::max(newsBegan, count.lastStart) + kClockLag;
+            return std::max(newsBegan, count.lastStart) + paced(kClockLag);
         if (now - newsBegan > kMachinesLate) return newsBegan + kMachinesLate;
         return std::nullopt;
     }
@@ -1010,12 +1038,12 @@
         if (v.gate == Gate::clock)
             return want(unhealthy > 0 ? Verdict::hold : healthy > 0 ? Verdict::none : wanted, reason);
         const auto clock = clockStart();
-        if (wanted == Verdict::on || !clock || now < *clock + kPatience || unhealthy > 0) return;
+        if (wanted == Verdict::on || !clock || now < *clock + paced(kPatience) || unhealthy > 0) return;
         if (suspicion != Suspicion::none || (slowSince != Span{0} && now >= clearUntil)) return;
         // Quiet is what this gateway has listened to. Guards against an 'on' of one that has started since,
         // or has seen no answer of the trial in a rough time. Harm: a restart delays its vote.
         const bool rough = earlier.losesMany() || shedOfLate();
-        const bool quiet = now - std::max({newsBegan, firstTold, lastTrialFailure}) >= kQuiet &&
+        const bool quiet = now - std::max({newsBegan, firstTold, lastTrialFailure}) >= paced(kQuiet) &&
                            tallySick == 0 && !(rough && met.empty());
         if (healthy >= kHealthyStreak) want(Verdict::on, "healthy");
         else if (quiet) want(Verdict::on, "quiet");
--- a/src/resp/client.cpp
+++ b/src/resp/client.cpp
@@ -82,6 +82,12 @@
     awaitRead();
 }
 
+void ClientConnection::look() {
+    if (!connected || closed || !done || !sentAll) return;
+    const auto self = shared_from_this();
+    readable();
+}
+
 bool ClientConnection::stillQuiet() {
     char byte = 0;
     asio::error_code fault;
--- a/src/resp/client.hpp
+++ b/src/resp/client.hpp
@@ -30,7 +30,9 @@
     bool reusable() const { return connected && !closed && !done && !tainted; }
     // Looks whether the peer has closed or spoken while idle: then it is dropped and false.
     bool stillQuiet();
-    bool handedOver() const { return sentAll; }  // the present command's last byte
+    void look();  // reads what has come already; may call back
+    bool answerBegun() const { return parser.begun() || parser.faulty(); }  // bytes of a reply have come
+    bool handedOver() const { return sentAll; }                             // the present command's last byte
     std::uint64_t callNumber() const { return callNo; }
     std::function<void()> onIdleClosed;  // it has closed, or spoken, while idle
     Span idleSince{};
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -132,6 +132,7 @@
     v.exposureSpan = maySpan(family, "SpanS");
     v.exposureCaps = numbers(family, "ExposureCaps");
     v.stageShares = numbers(family, "Shares");
+    v.leastStage = maySpan(family, "LeastStageS");
     v.voteLife = maySpan(family, "BallotTtlS");
     v.voteAnswerWithin = maySpan(family, "ApiTimeoutS");
     v.votesToGoBack = may<int>(family, "VotesToRevert", 1);
