Instances' values are bounded by the memory given, not by 64 KiB

The bytes logged show whole answers with values of 180 to 194 KB, over the 64 KiB of RespUpstreams' reply limits; each was dropped and sent again elsewhere. Bounds::valueBytes is a part of the memory now, at most 1 MiB, and so are clients' commands. A path test passes 194 KB and refuses 3 MB.

--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -7,6 +7,9 @@
 constexpr std::size_t kReserveLeast = 24,
                       kReservePart = 12;  // one in so many: streams, votes, half-closed ones
 constexpr std::size_t kReqsPerMb = 32;    // 32 KiB a req: most hold far less, some two values of 64 KiB
+// Values are stated to hold 64 KiB at most, but days have shown three times that. One in 64 of the memory for
+// an answer, as some tens come at a time; one in 256 for a command, as all clients may be bad ones at once.
+constexpr std::size_t kValueLeast = 65536, kValueMost = 1048576, kAnswersAtOnce = 64, kCommandsAtOnce = 256;
 // A planned end: connections come for up to 0.4 s; the kill at the longest time-out, at most 3 s, and 0.7 s.
 constexpr Span kAcceptsFor = std::chrono::milliseconds(500), kLongestCounted = std::chrono::seconds(3),
                kKillMargin = std::chrono::milliseconds(550);
@@ -20,6 +23,9 @@
     out.upstreams = std::max<std::size_t>(1, std::min(rest / 2, sockets / 3 + sockets / 12));
     out.clients = std::max<std::size_t>(1, rest - out.upstreams);
     out.reqsInHand = std::max<std::size_t>(1, std::min(mostReqs, memoryMb * kReqsPerMb));
+    const std::size_t memory = memoryMb * 1048576;
+    out.valueBytes = std::clamp(memory / kAnswersAtOnce, kValueLeast, kValueMost);
+    out.bodyBytes = std::clamp(memory / kCommandsAtOnce, kValueLeast, kValueMost);
     out.idleFor = keptIdle / 2;  // the machine closes at the latest then: a req written late would be lost
     out.restFor = kRest;
     return out;
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -11,8 +11,10 @@
     std::size_t upstreams = 0;  // connections to instances, probes among them
     std::size_t reserve = 0;    // discovery, control, signals, logs, what is being closed
     std::size_t reqsInHand = 0;
-    Span idleFor{};  // a connection to an instance is kept idle
-    Span restFor{};  // and not used again sooner: what comes behind an answer shows itself
+    std::size_t valueBytes = 0;  // of an instance's answer at most
+    std::size_t bodyBytes = 0;   // of a client's command at most
+    Span idleFor{};              // a connection to an instance is kept idle
+    Span restFor{};              // and not used again sooner: what comes behind an answer shows itself
 };
 // How a planned end goes, from its signal on.
 struct Ending {
--- a/src/platform/upstreams.cpp
+++ b/src/platform/upstreams.cpp
@@ -6,7 +6,7 @@
 
 namespace deckcart::platform {
 
-constexpr resp::Limits kReplyLimits{4, 65536, 72000, 512};
+constexpr std::size_t kBesideValue = 4096, kMostLine = 512;  // of a reply: its report, and an error's words
 
 class RespCall : public Call {
   public:
@@ -82,7 +82,8 @@
     if (open >= bounds.upstreams) dropOldest();
     if (open >= bounds.upstreams) return nullptr;
     ++open;
-    return std::make_shared<resp::ClientConnection>(context, kReplyLimits);
+    return std::make_shared<resp::ClientConnection>(
+        context, resp::Limits{4, bounds.valueBytes, bounds.valueBytes + kBesideValue, kMostLine});
 }
 
 void RespUpstreams::dropOldest() {
--- a/src/platform/ways.cpp
+++ b/src/platform/ways.cpp
@@ -4,9 +4,13 @@
 
 namespace deckcart::platform {
 
+constexpr std::size_t kMostWords = 4096;  // of a command beside its body: key and list, each
+
 std::unique_ptr<Front> PlatformWays::front(const GatewayOrders &, FrontOwner owner) const {
     resp::DoorLimits limits;
     limits.connections = bounds.clients;
+    limits.message.bulkBytes = bounds.bodyBytes,
+    limits.message.totalBytes = bounds.bodyBytes + 2 * kMostWords;
     return std::make_unique<RespFront>(context, clock, *parseAddress(start.listen), limits, start.settings,
                                        std::move(owner));
 }
@@ -33,8 +37,8 @@
     for (std::size_t k = 0; k < s.routes.size(); ++k)
         out.routes.push_back({s.routes[k], "", "", s.routeTimeouts[k]});
     out.reqsInHand = bounds.reqsInHand;
-    out.upstream.heldAnswerBytes = 1 << 20;  // values are bounded below that and passed on whole
-    out.passedKept = 0;                      // the platform tells of no wrong answers by req
+    out.upstream.heldAnswerBytes = bounds.valueBytes;  // passed on whole
+    out.passedKept = 0;                                // the platform tells of no wrong answers by req
     return out;
 }
 
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -160,10 +160,15 @@
         if (route == "any") return resp::command({"Q.ASK", "key-" + id, id, "c=any,t=x,d=" + wait});
         return resp::command({"Q.DO", "key-" + id, id, "c=" + route + ",t=x,d=" + wait + ",k=1f", "body"});
     }
+    static bool whole(const std::string &in) {
+        resp::Parser parser(resp::Parser::What::reply, {4, 4000000, 4000000, 512});
+        parser.feed(in);
+        return parser.done();
+    }
     std::string ask(const std::string &id, const std::string &route = "any") {
         auto &c = client();
         c.send(req(id, route));
-        EXPECT_TRUE(until([&] { return c.in.ends_with("\r\n") || c.closed; }));
+        EXPECT_TRUE(until([&] { return whole(c.in) || c.closed; }));
         return c.in;
     }
     std::size_t tries() const {
@@ -245,6 +250,17 @@
     }
 }
 
+TEST_F(Platform, LargeValuesArePassedOnWholeAndHugeOnesAreNot) {
+    instance([](std::size_t, const std::vector<std::string> &args) {
+        return Reply{served(args[2] + std::string(args[2] == "huge" ? 3000000 : 194000, 'v'))};
+    });
+    begin();
+    EXPECT_EQ(ask("large"), resp::bulk("large" + std::string(194000, 'v')));
+    auto &c = client();
+    c.send(req("huge", "once"));
+    EXPECT_TRUE(until([&] { return c.in == "-ERR failed\r\n"; }));
+}
+
 TEST_F(Platform, ConnectionsThatAreRefusedProveThatNothingRan) {
     auto &sound = instance(echo);
     tcp::acceptor taken(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -213,6 +213,9 @@
         EXPECT_GE(b.upstreams * 4, sockets) << "who may hold a third for reqs can have them all sent";
         EXPECT_LT(b.idleFor, Span{15s}) << "dropped before the other side would";
     }
+    EXPECT_GE(divide(256, 32, 10, 15s).valueBytes, 200000u) << "values of 194 KB have been seen";
+    EXPECT_LE(divide(1024, 100000, 10, 15s).valueBytes, 1048576u);
+    EXPECT_EQ(divide(256, 8, 10, 15s).bodyBytes, 65536u);
     EXPECT_EQ(divide(256, 32, 10, 15s).reqsInHand, 10u);
     EXPECT_LT(ending(10s).answersBy, Span{3700ms}) << "before the kill";
     EXPECT_EQ(ending(1s).acceptsFor, Span{500ms}) << "while connections still come";
