--- a/fuzz/resp_message.cpp
+++ b/fuzz/resp_message.cpp
@@ -13,7 +13,8 @@
 
 constexpr resp::Limits kLimits{8, 64, 128, 48};
 
-std::vector<resp::Value> readAll(resp::Parser::What what, std::string_view bytes, std::size_t cut, std::string &fault) {
+std::vector<resp::Value> readAll(resp::Parser::What what, std::string_view bytes, std::size_t cut,
+                                 std::string &fault) {
     resp::Parser parser(what, kLimits);
     std::vector<resp::Value> out;
     for (std::string_view part : {bytes.substr(0, cut), bytes.substr(cut)})
