--- a/src/base/snapshot.cpp
+++ b/src/base/snapshot.cpp
@@ -44,13 +44,19 @@
     return {};
 }
 
-SnapshotRead readSnapshot(const std::filesystem::path &path, int format) {
-    SnapshotRead out;
+std::optional<std::string> readWhole(const std::filesystem::path &path) {
     std::ifstream file(path, std::ios::binary);
-    if (!file) return out;
+    if (!file) return std::nullopt;
     std::stringstream bytes;
     bytes << file.rdbuf();
-    auto read = nlohmann::json::parse(bytes.str(), nullptr, false);
+    return bytes.str();
+}
+
+SnapshotRead readSnapshot(const std::filesystem::path &path, int format) {
+    SnapshotRead out;
+    const auto bytes = readWhole(path);
+    if (!bytes) return out;
+    auto read = nlohmann::json::parse(*bytes, nullptr, false);
     if (read.is_discarded() || !read.is_object()) out.fault = path.string() + " is damaged";
     else if (read.value("format", nlohmann::json{}) != format)
         out.fault = path.string() + " has another format";
--- a/src/base/snapshot.hpp
+++ b/src/base/snapshot.hpp
@@ -17,6 +17,9 @@
 // Empty if it was written; else what failed, with the path.
 std::string writeWhole(const std::filesystem::path &path, const std::string &bytes, Durable how);
 
+// Empty where it can't be read.
+std::optional<std::string> readWhole(const std::filesystem::path &path);
+
 struct SnapshotRead {
     std::optional<nlohmann::json> document;  // empty: there is none, or it was set aside
     std::string fault;                       // why it was set aside, as PATH.bad
--- /dev/null
+++ b/src/base/socket.cpp
@@ -0,0 +1,40 @@
+#include "socket.hpp"
+
+namespace deckcart {
+
+using asio::ip::tcp;
+
+constexpr int kBacklog = 1024;
+
+void listenAt(tcp::acceptor &acceptor, const tcp::endpoint &address) {
+    acceptor.open(address.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen(kBacklog);
+    acceptor.non_blocking(true);
+}
+
+void settle(tcp::socket &socket) {
+    asio::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+}
+
+void connectWithin(tcp::socket &socket, asio::steady_timer &timer, const tcp::endpoint &to, Span within,
+                   std::function<void(bool)> done) {
+    timer.expires_after(within);
+    timer.async_wait([done](asio::error_code fault) {
+        if (!fault) done(false);
+    });
+    socket.async_connect(to, [&socket, &timer, done = std::move(done)](asio::error_code fault) {
+        // Read after its bound, as after a standstill of this process, it is late as well: what was decided
+        // then is not sent now.
+        const bool late = timer.expiry() <= std::chrono::steady_clock::now();
+        timer.cancel();
+        if (fault || late) return done(false);
+        settle(socket);
+        done(true);
+    });
+}
+
+}  // namespace deckcart
--- a/src/dns/asking.cpp
+++ b/src/dns/asking.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <numeric>
 
+#include "../base/back_off.hpp"
+
 namespace deckcart::dns {
 namespace {
 
@@ -125,11 +127,7 @@
     failures = 0;
     return Span{std::llround(double(lifetime.count()) * part(kAheadFrom, kAheadTo))};
 }
-Span Refresh::afterFailure() {
-    const Span whole = std::min(kBackOffMost, kBackOffFirst * (1 << std::min(failures, 6)));
-    ++failures;
-    return Span{std::llround(double(whole.count()) * part(0.5, 1))};
-}
+Span Refresh::afterFailure() { return backedOff(kBackOffFirst, kBackOffMost, failures++, part(0.5, 1)); }
 Span Refresh::sooner(Span wanted) { return Span{std::llround(double(wanted.count()) * part(1, 1.25))}; }
 
 Span QuestionCap::take(Span now) {
--- a/src/gateway/desk_client.cpp
+++ b/src/gateway/desk_client.cpp
@@ -118,11 +118,7 @@
 DeskClient::DeskClient(asio::io_context &io, const GatewayOrders &with, Now clock, Tell to)
     : context(io), orders(with), now(std::move(clock)), tell(std::move(to)) {}
 
-DeskClient::~DeskClient() {
-    follow(false);
-    for (const auto &weak : calls)
-        if (const auto call = weak.lock()) call->stop();
-}
+DeskClient::~DeskClient() { follow(false); }
 
 http::RequestHead DeskClient::request(const std::string &method, const std::string &target) const {
     http::RequestHead head;
@@ -222,8 +218,7 @@
                     {"build", vote.build},
                     {"step", vote.step},
                     {"verdict", nameOf(vote.verdict)}};
-    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
-    calls.push_back(http::Fetch::start(
+    calls.add(http::Fetch::start(
         context, orders.desk->address, head, body.dump(), within, [this](const http::Fetched &got) {
             // No answer, or a broken one: the vote may have counted.
             Outcome how = !got.inTime || got.how != http::CallEnd::complete ? Outcome::timeout
@@ -236,7 +231,7 @@
             } catch (const std::exception &) {
                 how = Outcome::timeout;
             }
-            tell(StageNews{true, how, 0, 0, Phase::onTrial, 0, {}});
+            tell(voteFailed(how));
         }));
 }
 
--- a/src/gateway/desk_client.hpp
+++ b/src/gateway/desk_client.hpp
@@ -73,7 +73,7 @@
     Tell tell;
     std::uint64_t version = 0, votesSent = 0;
     std::shared_ptr<http::Fetch> watching, listing;
-    std::vector<std::weak_ptr<http::Fetch>> calls;
+    http::Fetches calls;
     // When each start of an instance was, on this gateway's clock: it must not move from one telling to the
     // next.
     std::map<std::pair<ServerId, std::string>, Span> starts;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,7 +8,6 @@
 namespace deckcart {
 
 constexpr int kThawRounds = 200;  // loop turns at most that a standstill's finds are read in
-constexpr Span kTurnedAwayFor = std::chrono::seconds(1);  // of one over the bound of reqs in hand
 constexpr auto kSweepEvery = std::chrono::seconds(1);
 
 // What the call of one try tells.
@@ -89,6 +88,22 @@
     gateway.later([g = &gateway, req = id, no = tryNo, how] { g->tryEnded(req, no, how); });
 }
 
+nlohmann::json countsOf(const Gateway &gateway) {
+    const auto &c = gateway.counts();
+    return {{"taken", c.taken},
+            {"completed", c.completed},
+            {"shed", c.shed},
+            {"errored", c.errored},
+            {"gone", c.gone},
+            {"inHand", gateway.inHand()},
+            {"tries", c.tries},
+            {"overdue", c.overdue},
+            {"standstills", c.standstills},
+            {"turnedAway", c.turnedAway},
+            {"decidingMs", milliseconds(c.deciding)},
+            {"longestDecidingMs", milliseconds(c.longestDeciding)}};
+}
+
 // ---- start and end ----
 
 Gateway::Gateway(asio::io_context &io, const Clock &time, GatewayOrders with, std::uint64_t seeded, Log to,
@@ -196,10 +211,15 @@
 }
 
 void Gateway::endInHand() {
-    std::vector<ReqId> ids;
+    endOverdue([](const Req &) { return true; });
+}
+
+// Answers reqs for the module: it hears of them as gone.
+void Gateway::endOverdue(const std::function<bool(const Req &)> &which) {
+    std::vector<ReqId> overdue;
     for (const auto &[id, rq] : reqs)
-        if (!rq->answered) ids.push_back(id);
-    for (const ReqId id : ids) {
+        if (!rq->answered && which(*rq)) overdue.push_back(id);
+    for (const ReqId id : overdue) {
         ++counted.overdue;
         finish(*reqs.at(id), "errored", true, Span{0});
         later([this, id] { clientGone(id); });
@@ -220,14 +240,7 @@
         frozen = true, frozenAt = real - gap;
         ++counted.standstills;
         log.warn("standstill", {{"ms", milliseconds(gap)}});
-        std::vector<ReqId> overdue;
-        for (const auto &[id, rq] : reqs)
-            if (!rq->answered && rq->streaming < 0 && real >= rq->told) overdue.push_back(id);
-        for (const ReqId id : overdue) {
-            ++counted.overdue;
-            finish(*reqs.at(id), "errored", true, Span{0});
-            later([this, id] { clientGone(id); });
-        }
+        endOverdue([real](const Req &rq) { return rq.streaming < 0 && real >= rq.told; });
         thawSoon(0);
     }
     return frozen ? frozenAt : lastSeen;
@@ -261,7 +274,7 @@
     ++socketEvents;
     if (unanswered >= given.reqsInHand) {
         ++counted.turnedAway;
-        return taken->shed(taken->facts.name, kTurnedAwayFor);
+        return taken->shed(taken->facts.name, given.turnedAwayFor);
     }
     // What is read after a standstill came at some time during it: the earliest is taken, as its client may
     // wait since.
@@ -332,8 +345,8 @@
     Req &rq = *it->second;
     const Span at = lastSeen;
     for (std::size_t k = 0; k < rq.tries.size(); ++k)
-        if (!rq.tries[k].over && at >= rq.told) {
-            std::shared_ptr(rq.tries[k].call)->look();  // what has come in time is no time-out
+        if (at >= rq.told) {
+            stillOut(id, k);  // what has come in time is no time-out
             if (!reqs.contains(id)) return;
         }
     for (std::size_t k = 0; k < rq.tries.size(); ++k)
@@ -400,9 +413,8 @@
             log.info(
                 "stage",
                 {{"build", now.build}, {"step", now.step}, {"phase", nameOf(now.phase)}, {"cap", now.cap}});
-        const bool lowered = told && told->build == now.build && now.cap < told->cap;
+        if (told && told->build == now.build && now.cap < told->cap) lower = now.build;
         told = now;
-        if (lowered) lower = now.build;
     }
     for (const auto &[record, n] : records) queue.emplace_back(record, event);
     decide();
@@ -457,16 +469,10 @@
         Overload{
             [&](const SendTry &a) { send(record, a); },
             [&](const CancelTry &a) {
-                const auto it = reqs.find(a.req);
-                if (it == reqs.end() || std::size_t(a.tryNo) >= it->second->tries.size()) return;
-                // An answer that the client is getting is not withdrawn.
-                const Try &t = it->second->tries[std::size_t(a.tryNo)];
-                // Nor is one that has come and only waits to be read: its outcome is on its way.
-                if (!t.over) std::shared_ptr(t.call)->look();
-                const auto again = reqs.find(a.req);
-                if (again == reqs.end()) return;
-                const Try &still = again->second->tries[std::size_t(a.tryNo)];
-                if (!still.over && !(still.streaming && !again->second->answered))
+                // What has come is no longer withdrawn, nor is an answer that the client is getting.
+                if (!stillOut(a.req, std::size_t(a.tryNo))) return;
+                const Req &rq = *reqs.at(a.req);
+                if (!rq.tries[std::size_t(a.tryNo)].streaming || rq.answered)
                     tryEnded(a.req, a.tryNo, Outcome::cancelled);
             },
             [&](const Shed &a) {
@@ -536,6 +542,18 @@
     call->start(*rq.taken, rq.name, rq.clientEnd - lastSeen, build, sink);
 }
 
+// Whether a try is out, once what has come of its answer is read: that may end it, and its req.
+bool Gateway::stillOut(ReqId id, std::size_t no) {
+    const auto out = [&] {
+        const auto it = reqs.find(id);
+        return it != reqs.end() && no < it->second->tries.size() && !it->second->tries[no].over;
+    };
+    if (!out()) return false;
+    const auto call = reqs.at(id)->tries[no].call;  // it may go with its req
+    call->look();
+    return out();
+}
+
 void Gateway::tryEnded(ReqId id, int tryNo, Outcome how) {
     const auto it = reqs.find(id);
     if (it == reqs.end()) return;
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -31,6 +31,10 @@
     Span deciding{}, longestDeciding{};  // spent in the module: in all, on one event at most
 };
 
+class Gateway;
+// What every gateway reports of itself, whatever its ways.
+nlohmann::json countsOf(const Gateway &gateway);
+
 class Gateway {
   public:
     Gateway(asio::io_context &context, const Clock &clock, GatewayOrders orders, std::uint64_t seed, Log log,
@@ -74,6 +78,7 @@
 
     // ---- time: a stopped clock is found here ----
     Span turn();
+    void endOverdue(const std::function<bool(const Req &)> &which);
     void thawSoon(int rounds);
     void thaw();
     void later(std::function<void()> what);  // now, or once what came during a standstill is told
@@ -90,6 +95,7 @@
     void decide();
     void carryOut(InstanceId record, const Action &action);
     void send(InstanceId record, const SendTry &what);
+    bool stillOut(ReqId id, std::size_t tryNo);
     void tryEnded(ReqId id, int tryNo, Outcome how);
     void pass(Req &rq, int tryNo, std::string_view part);
     void complete(Req &rq, int tryNo);
--- a/src/gateway/http_ways.cpp
+++ b/src/gateway/http_ways.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "../base/address.hpp"
+#include "../base/number.hpp"
 #include "../http/fetch.hpp"
 #include "desk_client.hpp"
 #include "pool.hpp"
@@ -15,15 +16,6 @@
 constexpr const char *kEndHeader = "Deckcart-End", *kBuildHeader = "Deckcart-Build",
                      *kRetryHeader = "Deckcart-Retry-Ms";
 
-std::optional<double> number(const std::string *text) {
-    if (!text) return std::nullopt;
-    double value = 0;
-    const auto [end, fault] = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (fault != std::errc{} || end != text->data() + text->size() || !std::isfinite(value))
-        return std::nullopt;
-    return value;
-}
-
 std::vector<double> loadOf(const http::Head &head, const std::string &name) {
     std::vector<double> load;
     const std::string *text = head.find(name);
@@ -124,11 +116,9 @@
         };
         ReqFacts facts;
         facts.route = rule, facts.key = text(orders.headers.key), facts.name = text(orders.headers.reqId);
-        const auto account = std::ranges::find(orders.accounts, text(orders.headers.account));
-        // One that is not named is past the end of the shares: it has none, and no excess either.
-        facts.account = orders.accounts.empty() ? 0 : int(account - orders.accounts.begin());
+        facts.account = accountNo(orders.accounts, text(orders.headers.account));
         facts.wait = orders.routes[rule].routeTimeout;
-        if (const auto left = number(head.find(orders.headers.remaining)); left && *left >= 0)
+        if (const auto left = wholeNumber(text(orders.headers.remaining)); left && *left >= 0)
             facts.wait = std::min(facts.wait, Span{std::llround(std::min(*left, 1e9) * 1000)});
         auto req = std::make_shared<HttpReq>(std::move(exchange), orders);
         req->facts = std::move(facts);
@@ -229,10 +219,6 @@
   public:
     HttpUpstreams(asio::io_context &io, const GatewayOrders &with)
         : context(io), orders(with), pool(io, with) {}
-    ~HttpUpstreams() override {
-        for (const auto &call : probes) call->stop();
-    }
-
     std::shared_ptr<Call> take(const ServerId &server) override {
         const auto connection = parseAddress(server) ? pool.take(server) : nullptr;
         return connection ? std::make_shared<HttpCall>(pool, orders, server, connection) : nullptr;
@@ -244,8 +230,7 @@
         if (!to) return done({});
         http::RequestHead head;
         head.method = "GET", head.target = orders.upstream.probePath;
-        std::erase_if(probes, [](const auto &call) { return call.use_count() == 1; });
-        probes.push_back(http::Fetch::start(
+        probes.add(http::Fetch::start(
             context, *to, head, {}, orders.upstream.probeWithin,
             [this, done](const http::Fetched &got) { done(loadOf(got.head, orders.headers.load)); }));
     }
@@ -254,7 +239,7 @@
     asio::io_context &context;
     const GatewayOrders &orders;
     Pool pool;
-    std::vector<std::shared_ptr<http::Fetch>> probes;
+    http::Fetches probes;
 };
 
 }  // namespace
--- a/src/gateway/service.cpp
+++ b/src/gateway/service.cpp
@@ -156,22 +156,10 @@
     }
 
     json counts() const {
-        const auto &c = gateway->counts();
-        return {{"taken", c.taken},
-                {"completed", c.completed},
-                {"shed", c.shed},
-                {"errored", c.errored},
-                {"gone", c.gone},
-                {"inHand", gateway->inHand()},
-                {"tries", c.tries},
-                {"overdue", c.overdue},
-                {"standstills", c.standstills},
-                {"turnedAway", c.turnedAway},
-                {"unrouted", c.unrouted},
-                {"connections", gateway->connections()},
-                {"decisions", c.decisions},
-                {"decidingMs", milliseconds(c.deciding)},
-                {"longestDecidingMs", milliseconds(c.longestDeciding)}};
+        json out = countsOf(*gateway);
+        out["unrouted"] = gateway->counts().unrouted, out["connections"] = gateway->connections();
+        out["decisions"] = gateway->counts().decisions;
+        return out;
     }
 
     static void answer(http::Exchange &to, int status, const json &body) {
--- a/src/gateway/ways.hpp
+++ b/src/gateway/ways.hpp
@@ -105,6 +105,9 @@
     std::function<void(Event)> tell;
 };
 
+// A vote that did not count, or may have.
+inline StageNews voteFailed(Outcome how) { return {true, how, 0, 0, Phase::onTrial, 0, {}}; }
+
 struct GatewayOrders;
 
 // Makes the four for a gateway whose orders outlive them.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -11,29 +11,17 @@
 ClientConnection::ClientConnection(asio::io_context &context, std::size_t mostHeadBytes)
     : socket(context), timer(context), parser(Parser::Kind::answer, mostHeadBytes, *this) {}
 
-void ClientConnection::call(const tcp::endpoint &to, Span connectWithin, std::string bytes, bool isHead,
+void ClientConnection::call(const tcp::endpoint &to, Span within, std::string bytes, bool isHead,
                             CallSink *owner) {
     sink = owner, headCall = isHead, handed = 0, paused = sentAll = false;
     outgoing = std::move(bytes);
     parser.reset();
     const auto no = ++callNo;
     if (connected) return send();
-    timer.expires_after(connectWithin);
-    timer.async_wait([weak = weak_from_this(), no](asio::error_code fault) {
-        const auto self = weak.lock();
-        if (!fault && self && !self->connected && self->callNo == no) self->finish(CallEnd::connectFailed);
-    });
-    socket.async_connect(to, [self = shared_from_this(), no](asio::error_code fault) {
-        if (self->closed || self->callNo != no) return;
-        // Read after its bound, as after a standstill of this process, it is late as well: what was decided
-        // then is not sent now.
-        const bool late = self->timer.expiry() <= std::chrono::steady_clock::now();
-        self->timer.cancel();
-        if (fault || late) return self->finish(CallEnd::connectFailed);
+    deckcart::connectWithin(socket, timer, to, within, [self = shared_from_this(), no](bool done) {
+        if (self->closed || self->connected || self->callNo != no) return;
+        if (!done) return self->finish(CallEnd::connectFailed);
         self->connected = true;
-        asio::error_code ignored;
-        self->socket.set_option(tcp::no_delay(true), ignored);
-        self->socket.non_blocking(true, ignored);
         self->send();
     });
 }
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -6,17 +6,12 @@
 #include <functional>
 #include <memory>
 
-#include "../base/clock.hpp"
+#include "../base/socket.hpp"
 #include "parser.hpp"
 
 namespace deckcart::http {
 
-enum class CallEnd {
-    complete,       // the whole answer came
-    connectFailed,  // no connection: nothing was handed over
-    broken,         // the connection failed or closed before the answer's end
-    garbage         // what came is no answer
-};
+using deckcart::CallEnd;
 
 // What a call tells its owner. After onEnd nothing more comes.
 class CallSink {
--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -65,6 +65,7 @@
     const auto held = std::exchange(self, nullptr);
     if (!held) return;
     timer.cancel();
+    result.handedOver = connection->handedOver();
     connection->drop();
     const auto tell = std::exchange(done, nullptr);
     line = nullptr;
@@ -77,4 +78,14 @@
     if (const auto held = std::exchange(self, nullptr)) timer.cancel(), connection->drop();
 }
 
+Fetches::~Fetches() {
+    for (const auto &weak : calls)
+        if (const auto call = weak.lock()) call->stop();
+}
+
+void Fetches::add(const std::shared_ptr<Fetch> &call) {
+    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
+    calls.push_back(call);
+}
+
 }  // namespace deckcart::http
--- a/src/http/fetch.hpp
+++ b/src/http/fetch.hpp
@@ -9,6 +9,7 @@
 
 struct Fetched {
     bool inTime = true;
+    bool handedOver = false;  // bytes of the call have left: it may have been carried out
     CallEnd how = CallEnd::complete;
     AnswerHead head;
     std::string body;  // not of a watch whose status is 200
@@ -27,8 +28,6 @@
                                         RequestHead head, const std::string &body, Span within, Done done,
                                         Line line = nullptr);
     void stop();  // no call back any more
-    // For tests and load: what is known of whether bytes were handed over.
-    bool handedOver() const { return connection->handedOver(); }
 
   private:
     explicit Fetch(asio::io_context &context);
@@ -48,4 +47,17 @@
     std::shared_ptr<Fetch> self;  // until the end
 };
 
+// Calls under way, stopped with their owner.
+class Fetches {
+  public:
+    Fetches() = default;
+    ~Fetches();
+    Fetches(const Fetches &) = delete;
+    Fetches &operator=(const Fetches &) = delete;
+    void add(const std::shared_ptr<Fetch> &call);
+
+  private:
+    std::vector<std::weak_ptr<Fetch>> calls;
+};
+
 }  // namespace deckcart::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "../base/socket.hpp"
+
 namespace deckcart::http {
 
 using asio::ip::tcp;
@@ -10,11 +12,7 @@
 struct Door::Core : std::enable_shared_from_this<Door::Core> {
     Core(asio::io_context &io, const tcp::endpoint &at, DoorLimits most, Handler take)
         : context(io), acceptor(io), limits(most), handler(std::move(take)), retry(io) {
-        acceptor.open(at.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        acceptor.bind(at);
-        acceptor.listen(1024);
-        acceptor.non_blocking(true);
+        listenAt(acceptor, at);
         local = acceptor.local_endpoint();
     }
     void accept();
@@ -36,9 +34,7 @@
     ServerConnection(std::shared_ptr<Door::Core> of, tcp::socket with)
         : door(std::move(of)), socket(std::move(with)), timer(socket.get_executor()),
           parser(Parser::Kind::request, door->limits.headBytes, *this) {
-        asio::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        socket.non_blocking(true, ignored);
+        settle(socket);
     }
 
     void start() { watch(door->limits.idleFor), read(); }
--- a/src/platform/commands.hpp
+++ b/src/platform/commands.hpp
@@ -8,6 +8,8 @@
 
 namespace deckcart::platform {
 
+constexpr std::size_t kMostWords = 4096;  // of a key, and of a list
+
 // A command as the client sent it: key, id and body pass on unchanged, and the list but for the wait.
 struct Command {
     std::vector<std::string> args;
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -1,14 +1,9 @@
 #include "desk.hpp"
 
-#include "../base/address.hpp"
+#include "../base/back_off.hpp"
 
 namespace deckcart::platform {
 
-using std::chrono::milliseconds;
-
-// Signs of life come every 2 s and every second: two of them late, or three.
-constexpr Stream::Times kListTimes{milliseconds(5000), milliseconds(50), milliseconds(1000)};
-constexpr Stream::Times kBulletinTimes{milliseconds(3000), milliseconds(20), milliseconds(500)};
 constexpr Span kNever = std::chrono::hours(24 * 365);  // a leg's own silence: the stream watches it
 
 Span onClock(std::int64_t unixMs) {
@@ -36,10 +31,10 @@
     bool dead = false;
 };
 
-Stream::Stream(asio::io_context &io, Times with, std::uint64_t seed, Log to, const char *named,
+Stream::Stream(asio::io_context &io, StreamTimes with, std::uint64_t seed, Log to, const char *named,
                std::function<std::string()> path, std::function<Line()> lines)
     : context(io), times(with), chance(std::mt19937::result_type(seed)), log(std::move(to)), name(named),
-      target(std::move(path)), reader(std::move(lines)), timer(io), watchdog(io), pause(with.first) {}
+      target(std::move(path)), reader(std::move(lines)), timer(io), watchdog(io) {}
 
 Stream::~Stream() {
     *alive = false;
@@ -55,7 +50,7 @@
 
 void Stream::open(const asio::ip::tcp::endpoint &to) {
     address = to;
-    pause = times.first;
+    failures = 0;
     start();
 }
 
@@ -80,7 +75,7 @@
             if (leg == coming) {
                 drop(standing);
                 standing = std::exchange(coming, nullptr);
-                pause = times.first;
+                failures = 0;
             }
             leg->spoke = std::chrono::steady_clock::now();
             try {
@@ -108,8 +103,7 @@
 
 void Stream::again() {
     const double part = 0.5 + 0.5 * double(chance()) / 4294967296.0;
-    timer.expires_after(Span{std::llround(double(pause.count()) * part)});
-    pause = std::min(2 * pause, times.most);
+    timer.expires_after(backedOff(times.first, times.most, failures++, part));
     timer.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
         if (!fault && !here.expired() && !coming) start();
     });
@@ -122,7 +116,7 @@
     : context(io), directory(where), settings(with), at(places), log(std::move(to)), owner(std::move(from)),
       generation(known),
       list(
-          io, kListTimes, seed, log, "discovery",
+          io, listTimes(), seed, log, "discovery",
           [this] { return "/discovery/hosts?stream=1&index=" + std::to_string(generation); },
           [this]() -> Stream::Line {
               return [this](std::string_view line) {
@@ -131,7 +125,7 @@
               };
           }),
       bulletin(
-          io, kBulletinTimes, seed + 1, log, "bulletin", [] { return std::string("/apis/fleet/bulletin"); },
+          io, bulletinTimes(), seed + 1, log, "bulletin", [] { return std::string("/apis/fleet/bulletin"); },
           [this]() -> Stream::Line {
               return [this, events = std::make_shared<EventLines>()](std::string_view line) {
                   const auto event = events->line(line);
@@ -145,11 +139,6 @@
     bulletin.open(at.control);
 }
 
-PlatformDesk::~PlatformDesk() {
-    for (const auto &weak : calls)
-        if (const auto call = weak.lock()) call->stop();
-}
-
 // The streams stand always: the platform sends by itself, also where the module would ask.
 void PlatformDesk::follow(bool) {}
 
@@ -170,22 +159,13 @@
     http::RequestHead head;
     head.method = "POST", head.target = "/apis/fleet/";
     head.headers = {{"Content-Type", "application/x-www-form-urlencoded"}};
-    std::erase_if(calls, [](const auto &weak) { return weak.expired(); });
-    const auto held = std::make_shared<std::weak_ptr<http::Fetch>>();
-    const auto call = http::Fetch::start(
-        context, at.control, head, voteForm(vote), within, [this, held](const http::Fetched &got) {
-            const auto self = held->lock();
-            const auto failed = [&](Outcome how) {
-                owner.tell(StageNews{true, how, 0, 0, Phase::onTrial, 0, {}});
-            };
-            if (got.inTime && got.how == http::CallEnd::complete)
+    calls.add(http::Fetch::start(
+        context, at.control, head, voteForm(vote), within, [this](const http::Fetched &got) {
+            if (got.inTime && got.how == CallEnd::complete)
                 return owner.tell(readVoteAnswer(got.head.status, got.body));
             // Not carried out where nothing was handed over; else it may have been.
-            const bool none = got.how == http::CallEnd::connectFailed || (self && !self->handedOver());
-            failed(none ? Outcome::error : Outcome::timeout);
-        });
-    *held = call;
-    calls.push_back(call);
+            owner.tell(voteFailed(got.handedOver ? Outcome::timeout : Outcome::error));
+        }));
 }
 
 }  // namespace deckcart::platform
--- a/src/platform/desk.hpp
+++ b/src/platform/desk.hpp
@@ -9,6 +9,7 @@
 #include "../gateway/ways.hpp"
 #include "../http/fetch.hpp"
 #include "directory.hpp"
+#include "limits.hpp"
 
 namespace deckcart::platform {
 
@@ -16,10 +17,7 @@
 class Stream {
   public:
     using Line = std::function<void(std::string_view)>;  // throws where it can't be read
-    struct Times {
-        Span silentFor, first, most;  // of silence that counts as broken; pauses before it is opened anew
-    };
-    Stream(asio::io_context &context, Times times, std::uint64_t seed, Log log, const char *name,
+    Stream(asio::io_context &context, StreamTimes times, std::uint64_t seed, Log log, const char *name,
            std::function<std::string()> target, std::function<Line()> reader);
     ~Stream();
     void open(const asio::ip::tcp::endpoint &at);  // the one that stands is kept until the new one speaks
@@ -32,7 +30,7 @@
     void drop(std::shared_ptr<Leg> &leg);
 
     asio::io_context &context;
-    Times times;
+    StreamTimes times;
     std::mt19937 chance;
     Log log;
     const char *name;
@@ -41,7 +39,7 @@
     asio::ip::tcp::endpoint address;
     std::shared_ptr<Leg> standing, coming;
     asio::steady_timer timer, watchdog;
-    Span pause{};
+    int failures = 0;  // in a row
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
@@ -52,7 +50,6 @@
     };
     PlatformDesk(asio::io_context &context, Directory &directory, const wire::BirthSettings &settings, At at,
                  std::uint64_t seed, Log log, std::int64_t generation, DeskOwner owner);
-    ~PlatformDesk() override;
 
     void follow(bool active) override;
     void vote(const Vote &vote, Span within) override;
@@ -69,7 +66,7 @@
     DeskOwner owner;
     std::int64_t generation;
     Stream list, bulletin;
-    std::vector<std::weak_ptr<http::Fetch>> calls;
+    http::Fetches calls;
 };
 
 // Unix time to the gateway's clock and back: read once, so that a fact does not move.
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -1,15 +1,12 @@
 #include "directory.hpp"
 
-#include "../base/address.hpp"
-
 namespace deckcart::platform {
 
 void Directory::note(const Members &told) {
     if (told.complete) places.clear();
     for (const auto &m : told.members) {
         if (m.entry.readiness == Readiness::gone) places.erase(m.entry.id);
-        else if (const auto at = parseAddress(m.address))
-            places[m.entry.id] = {*at, m.entry.build, m.startedAtMs};
+        else if (m.address) places[m.entry.id] = {*m.address, m.entry.build, m.startedAtMs};
     }
 }
 
--- a/src/platform/directory.hpp
+++ b/src/platform/directory.hpp
@@ -16,7 +16,6 @@
     };
     void note(const Members &told);
     const Place *find(const ServerId &id) const;
-    std::size_t size() const { return places.size(); }
 
   private:
     std::map<ServerId, Place> places;
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -8,6 +8,9 @@
 #include <stdexcept>
 
 #include "../base/address.hpp"
+#include "../base/number.hpp"
+#include "../gateway/ways.hpp"
+#include "pairs.hpp"
 
 namespace deckcart::platform {
 namespace {
@@ -43,20 +46,21 @@
     if (!(n >= least && n <= most)) bad(place, "is out of range");
     return n;
 }
-std::string addressOf(const json &from, const char *name, const std::string &at = {}) {
-    std::string said = text(from, name, at);
-    if (!parseAddress(said)) bad(at.empty() ? name : at + "." + name, "is not HOST:PORT");
-    return said;
+asio::ip::tcp::endpoint addressOf(const json &from, const char *name, const std::string &at = {}) {
+    const auto read = parseAddress(text(from, name, at));
+    if (!read) bad(at.empty() ? name : at + "." + name, "is not HOST:PORT");
+    return *read;
 }
 
-double number(const Form &from, const char *name, double least, double most) {
+const std::string &text(const Form &from, const char *name) {
     const auto it = from.find(name);
     if (it == from.end()) bad(name, "is missing");
-    double n = 0;
-    const char *end = it->second.data() + it->second.size();
-    const auto [stop, fault] = std::from_chars(it->second.data(), end, n);
-    if (fault != std::errc{} || stop != end || !(n >= least && n <= most)) bad(name, "is out of range");
-    return n;
+    return it->second;
+}
+double number(const Form &from, const char *name, double least, double most) {
+    const auto n = wholeNumber(text(from, name));
+    if (!n || !(*n >= least && *n <= most)) bad(name, "is out of range");
+    return *n;
 }
 
 constexpr std::pair<const char *, Phase> kPhases[] = {{"Progressing", Phase::onTrial},
@@ -69,14 +73,15 @@
     bad("progress", "holds an unknown word");
 }
 
-StageNews news(double build, double step, const std::string &phase, double cap, double lagMs) {
+// The same fields, in JSON and in a form.
+template <class From> StageNews newsOf(const From &from) {
     return {false,
             Outcome::ok,
-            BuildNo(build),
-            int(step),
-            phaseNamed(phase),
-            cap,
-            Span{std::llround(lagMs * 1000)}};
+            BuildNo(number(from, "image", 0, kMostBuild)),
+            int(number(from, "ring", 0, kMostStage)),
+            phaseNamed(text(from, "progress")),
+            number(from, "ceiling", 0, 1),
+            Span{std::llround(number(from, "lag_ms", 0, kMostLagMs) * 1000)}};
 }
 
 // Keys that stand twice in one object: which of them counts would be chance.
@@ -136,10 +141,8 @@
     return out;
 }
 
-StageNews readNews(const json &from) {
-    return news(number(from, "image", 0, kMostBuild), number(from, "ring", 0, kMostStage),
-                text(from, "progress"), number(from, "ceiling", 0, 1), number(from, "lag_ms", 0, kMostLagMs));
-}
+StageNews readNews(const json &from) { return newsOf(from); }
+StageNews readNews(const Form &from) { return newsOf(from); }
 
 Form readForm(std::string_view text) {
     Form out;
@@ -159,28 +162,17 @@
         }
         return to;
     };
-    while (!text.empty()) {
-        const auto part = text.substr(0, text.find('&'));
-        text.remove_prefix(std::min(text.size(), part.size() + 1));
-        const auto at = part.find('=');
-        if (at == std::string_view::npos) throw std::invalid_argument("a form holds a name without a value");
-        if (!out.emplace(plain(part.substr(0, at)), plain(part.substr(at + 1))).second)
+    const bool paired = eachPair(text, '&', [&](std::string_view name, std::string_view value) {
+        if (!out.emplace(plain(name), plain(value)).second)
             throw std::invalid_argument("a form holds a name twice");
-    }
+        return true;
+    });
+    if (!paired) throw std::invalid_argument("a form holds a name without a value");
     return out;
 }
 
-StageNews readNews(const Form &from) {
-    const auto phase = from.find("progress");
-    if (phase == from.end()) bad("progress", "is missing");
-    return news(number(from, "image", 0, kMostBuild), number(from, "ring", 0, kMostStage), phase->second,
-                number(from, "ceiling", 0, 1), number(from, "lag_ms", 0, kMostLagMs));
-}
-
 TallyTold readCounts(const Form &from, const std::vector<std::string> &routes) {
-    const auto type = from.find("type");
-    if (type == from.end()) bad("type", "is missing");
-    const auto route = std::ranges::find(routes, type->second);
+    const auto route = std::ranges::find(routes, text(from, "type"));
     if (route == routes.end()) bad("type", "names no route");
     TallyTold out{BuildNo(number(from, "image", 0, kMostBuild)), int(route - routes.begin()),
                   int(number(from, "n", 0, 1e9)), int(number(from, "bad", 0, 1e9)),
@@ -190,19 +182,18 @@
 }
 
 StageNews readVoteAnswer(int status, const std::string &body) {
-    const auto failed = [](Outcome how) { return StageNews{true, how, 0, 0, Phase::onTrial, 0, {}}; };
-    if (status == 500) return failed(Outcome::error);
+    if (status == 500) return voteFailed(Outcome::error);
     pugi::xml_document doc;
     const bool whole = doc.load_buffer(body.data(), body.size(), pugi::parse_default, pugi::encoding_utf8);
-    if (!whole) return failed(Outcome::timeout);
+    if (!whole) return voteFailed(Outcome::timeout);
     if (status == 400) {
         const std::string code = doc.child("Error").child("Code").text().get();
-        return failed(code == "throttled"  ? Outcome::full
-                      : code == "conflict" ? Outcome::moot
-                      : code == "invalid"  ? Outcome::error
-                                           : Outcome::timeout);
+        return voteFailed(code == "throttled"  ? Outcome::full
+                          : code == "conflict" ? Outcome::moot
+                          : code == "invalid"  ? Outcome::error
+                                               : Outcome::timeout);
     }
-    if (status != 200) return failed(Outcome::timeout);
+    if (status != 200) return voteFailed(Outcome::timeout);
     Form fields;
     const auto item = doc.child("Response").child("items").child("item");
     for (const auto &field : item.children()) fields[field.name()] = field.text().get();
@@ -211,7 +202,7 @@
         out.answersVote = true;
         return out;
     } catch (const std::invalid_argument &) {
-        return failed(Outcome::timeout);
+        return voteFailed(Outcome::timeout);
     }
 }
 
@@ -242,6 +233,17 @@
     return std::nullopt;
 }
 
+namespace {
+// A part of the whole: its faults name it.
+auto within(const char *part, auto read) {
+    try {
+        return read();
+    } catch (const std::exception &fault) {
+        throw std::invalid_argument(std::string(part) + ": " + fault.what());
+    }
+}
+}  // namespace
+
 Start readStart(const std::string &whole) {
     const json from = parseOnce(whole);
     Start out;
@@ -257,23 +259,11 @@
     out.sockets = std::size_t(number(limits, "sockets", 64, 1e9, "limits"));
     const json &control = need(from, "platform");
     out.control = addressOf(control, "address", "platform");
-    try {
-        out.settings = wire::readSettings(need(from, "settings"), out.seed);
-    } catch (const wire::BadBatch &fault_) {
-        throw std::invalid_argument(std::string("settings: ") + fault_.what());
-    }
-    if (const auto told = control.find("news"); told != control.end() && !told->is_null()) {
-        try {
-            out.news = readNews(*told);
-        } catch (const std::invalid_argument &fault_) {
-            throw std::invalid_argument(std::string("platform.news: ") + fault_.what());
-        }
-    }
-    try {
-        out.known = readMembers(need(from, "known"), out.settings.zones);
-    } catch (const std::invalid_argument &fault_) {
-        throw std::invalid_argument(std::string("known: ") + fault_.what());
-    }
+    const json &settings = need(from, "settings");
+    out.settings = within("settings", [&] { return wire::readSettings(settings, out.seed); });
+    if (const auto told = control.find("news"); told != control.end() && !told->is_null())
+        out.news = within("platform.news", [&] { return readNews(*told); });
+    out.known = within("known", [&] { return readMembers(need(from, "known"), out.settings.zones); });
     return out;
 }
 
--- a/src/platform/documents.hpp
+++ b/src/platform/documents.hpp
@@ -14,9 +14,9 @@
 
 // An instance as discovery lists it.
 struct Member {
-    ServerEntry entry;  // but for startedAt, which is on the reader's clock
-    std::string address;
-    std::int64_t startedAtMs = 0;  // Unix time; 0: long ago
+    ServerEntry entry;                               // but for startedAt, which is on the reader's clock
+    std::optional<asio::ip::tcp::endpoint> address;  // always there but for one that is gone
+    std::int64_t startedAtMs = 0;                    // Unix time; 0: long ago
 };
 struct Members {
     std::int64_t generation = 0;
@@ -48,7 +48,8 @@
 };
 
 struct Start {
-    std::string name, listen, discovery, control;
+    std::string name;
+    asio::ip::tcp::endpoint listen, discovery, control;
     std::uint64_t seed = 0;
     double cores = 1;
     std::size_t memoryMb = 0, sockets = 0;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -1,7 +1,5 @@
 #include "front.hpp"
 
-#include <algorithm>
-
 namespace deckcart::platform {
 
 class RespReq : public TakenReq {
@@ -52,31 +50,10 @@
 
 const Command &commandOf(const TakenReq &req) { return static_cast<const RespReq &>(req).command; }
 
-bool OpenNames::open(const std::string &name, Span now) {
-    forget(now);
-    return names.insert(name).second;
-}
-void OpenNames::ended(const std::string &name, Span now) {
-    over.push_back({now, name});
-    forget(now);
-}
-void OpenNames::forget(Span now) {
-    for (; !over.empty() && now - over.front().first > kept; over.pop_front())
-        names.erase(over.front().second);
-}
-
-namespace {
-Span longest(const std::vector<Span> &all) {
-    Span most{};
-    for (const Span one : all) most = std::max(most, one);
-    return most;
-}
-}  // namespace
-
 RespFront::RespFront(asio::io_context &io, const Clock &time, const asio::ip::tcp::endpoint &at,
                      const resp::DoorLimits &limits, const wire::BirthSettings &with, FrontOwner to)
     : clock(time), settings(with), owner(std::move(to)),
-      names(std::make_shared<OpenNames>(longest(with.routeTimeouts))),
+      names(std::make_shared<OpenNames>(with.longestTimeout())),
       door(io, at, limits, [this](const std::shared_ptr<resp::Exchange> &e) { arrived(e); }) {}
 
 void RespFront::arrived(const std::shared_ptr<resp::Exchange> &exchange) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -1,33 +1,15 @@
 // Clients' commands as reqs of the gateway: see gateway/ways.hpp.
 #pragma once
 
-#include <deque>
-#include <unordered_set>
-
 #include "../base/clock.hpp"
 #include "../resp/server.hpp"
 #include "commands.hpp"
+#include "names.hpp"
 
 namespace deckcart::platform {
 
 class RespReq;
 
-// Ids of reqs that are open, and of those that ended a short while ago: an id that comes again is another
-// client's. Instances know them too and answer with errors, which would speak against a build.
-class OpenNames {
-  public:
-    explicit OpenNames(Span keptFor) : kept(keptFor) {}
-    bool open(const std::string &name, Span now);  // false: it is known
-    void ended(const std::string &name, Span now);
-    std::size_t size() const { return names.size(); }
-
-  private:
-    void forget(Span now);
-    Span kept;
-    std::unordered_set<std::string> names;
-    std::deque<std::pair<Span, std::string>> over;
-};
-
 class RespFront : public Front {
   public:
     RespFront(asio::io_context &context, const Clock &clock, const asio::ip::tcp::endpoint &at,
--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -2,8 +2,12 @@
 
 #include <algorithm>
 
+#include "commands.hpp"
+
 namespace deckcart::platform {
 
+using std::chrono::milliseconds;
+
 constexpr std::size_t kReserveLeast = 24,
                       kReservePart = 12;  // one in so many: streams, votes, half-closed ones
 constexpr std::size_t kReqsPerMb = 32;    // 32 KiB a req: most hold far less, some two values of 64 KiB
@@ -12,8 +16,10 @@
 constexpr std::size_t kValueLeast = 65536, kValueMost = 1048576, kAnswersAtOnce = 64, kCommandsAtOnce = 256;
 // A planned end: connections come for up to 0.4 s; the kill at the longest time-out, at most 3 s, and 0.7 s.
 constexpr Span kAcceptsFor = std::chrono::milliseconds(500), kLongestCounted = std::chrono::seconds(3),
-               kKillMargin = std::chrono::milliseconds(550);
-constexpr Span kRest = std::chrono::milliseconds(5);  // on one machine what comes behind comes at once
+               kKillMargin = std::chrono::milliseconds(550), kLastWords = std::chrono::milliseconds(100);
+constexpr std::size_t kBesideValue = 4096, kMostLine = 512;  // of a reply: its report, and an error's words
+constexpr std::size_t kReplyItems = 4;                       // three are stated
+constexpr Span kRest = std::chrono::milliseconds(5);         // on one machine what comes behind comes at once
 
 Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle) {
     Bounds out;
@@ -32,7 +38,25 @@
 }
 
 Ending ending(Span longestTimeout) {
-    return {kAcceptsFor, std::min(longestTimeout, kLongestCounted) + kKillMargin};
+    return {kAcceptsFor, std::min(longestTimeout, kLongestCounted) + kKillMargin, kLastWords};
+}
+
+// Signs of life come every 2 s and every second: two of them late, or three.
+StreamTimes listTimes() { return {milliseconds(5000), milliseconds(50), milliseconds(1000)}; }
+StreamTimes bulletinTimes() { return {milliseconds(3000), milliseconds(20), milliseconds(500)}; }
+
+// As long again for the answer as for the connection.
+Span probeWithin(Span connectWithin) { return 2 * connectWithin; }
+
+resp::DoorLimits doorLimits(const Bounds &bounds) {
+    resp::DoorLimits out;
+    out.connections = bounds.clients;
+    out.message.bulkBytes = bounds.bodyBytes;
+    out.message.totalBytes = bounds.bodyBytes + 2 * kMostWords;
+    return out;
+}
+resp::Limits replyLimits(const Bounds &bounds) {
+    return {kReplyItems, bounds.valueBytes, bounds.valueBytes + kBesideValue, kMostLine};
 }
 
 }  // namespace deckcart::platform
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -1,7 +1,7 @@
 // Divides what a gateway's machine allows between its uses. Pure.
 #pragma once
 
-#include "../resp/server.hpp"
+#include "../resp/room.hpp"
 #include "documents.hpp"
 
 namespace deckcart::platform {
@@ -20,8 +20,19 @@
 struct Ending {
     Span acceptsFor{};  // who does not know yet still comes
     Span answersBy{};   // what is in hand then is answered as errored
+    Span lastWords{};   // for readers of the last answers
+};
+// A stream that is to stand always.
+struct StreamTimes {
+    Span silentFor{};      // of silence that counts as broken
+    Span first{}, most{};  // pauses before it is opened anew
 };
 Ending ending(Span longestTimeout);
+StreamTimes listTimes();
+StreamTimes bulletinTimes();
+Span probeWithin(Span connectWithin);
+resp::DoorLimits doorLimits(const Bounds &bounds);
+resp::Limits replyLimits(const Bounds &bounds);
 Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle);
 
 }  // namespace deckcart::platform
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -1,25 +1,20 @@
 #include "service.hpp"
 
 #include <csignal>
-#include <fstream>
-#include <sstream>
 
 #include "../base/address.hpp"
-#include "../gateway/gateway.hpp"
+#include "../base/snapshot.hpp"
 #include "ways.hpp"
 
 namespace deckcart::platform {
 namespace {
 
-constexpr auto kLastWords = std::chrono::milliseconds(100);  // for readers of the last answers
 constexpr auto kReportEvery = std::chrono::seconds(5);
 
-std::string readWhole(const std::string &file) {
-    std::ifstream in(file, std::ios::binary);
-    if (!in) throw std::invalid_argument("the file can't be read");
-    std::ostringstream out;
-    out << in.rdbuf();
-    return out.str();
+Start read(const std::string &file) {
+    const auto whole = readWhole(file);
+    if (!whole) throw std::invalid_argument("the file can't be read");
+    return readStart(*whole);
 }
 
 class Service {
@@ -31,7 +26,7 @@
     int run() {
         std::signal(SIGPIPE, SIG_IGN);
         try {
-            start = readStart(readWhole(file));
+            start = read(file);
         } catch (const std::exception &fault) {
             log.warn("configuration", {{"file", file}, {"fault", fault.what()}});
             return 2;
@@ -44,7 +39,7 @@
         try {
             gateway = std::make_unique<Gateway>(context, clock, std::move(orders), start.seed, log, *ways);
         } catch (const std::system_error &fault) {
-            log.warn("listen", {{"address", start.listen}, {"fault", fault.what()}});
+            log.warn("listen", {{"address", format(start.listen)}, {"fault", fault.what()}});
             return 1;
         }
         gateway->remember(listTold(start.known));
@@ -65,22 +60,10 @@
 
   private:
     nlohmann::json counts() const {
-        const auto &c = gateway->counts();
-        return {{"taken", c.taken},
-                {"completed", c.completed},
-                {"shed", c.shed},
-                {"errored", c.errored},
-                {"gone", c.gone},
-                {"inHand", gateway->inHand()},
-                {"tries", c.tries},
-                {"overdue", c.overdue},
-                {"standstills", c.standstills},
-                {"turnedAway", c.turnedAway},
-                {"refused", c.unrouted},
-                {"clients", gateway->connections()},
-                {"upstreams", ways->calls->connections()},
-                {"decidingMs", milliseconds(c.deciding)},
-                {"longestDecidingMs", milliseconds(c.longestDeciding)}};
+        nlohmann::json out = countsOf(*gateway);
+        out["refused"] = gateway->counts().unrouted, out["clients"] = gateway->connections();
+        out["upstreams"] = ways->calls->connections();
+        return out;
     }
     void report() {
         reporter.expires_after(kReportEvery);
@@ -104,9 +87,10 @@
     // Where discovery and the control service are; the rest stands for the life of the process.
     void reload() {
         try {
-            const Start again = readStart(readWhole(file));
-            ways->desks->move({*parseAddress(again.discovery), *parseAddress(again.control)});
-            log.info("configuration", {{"discovery", again.discovery}, {"control", again.control}});
+            const Start again = read(file);
+            ways->desks->move({again.discovery, again.control});
+            log.info("configuration",
+                     {{"discovery", format(again.discovery)}, {"control", format(again.control)}});
         } catch (const std::exception &fault) {
             log.warn("configuration-kept", {{"file", file}, {"fault", fault.what()}});
         }
@@ -114,12 +98,10 @@
 
     void end() {
         ending = true;
-        Span longest{};
-        for (const Span one : start.settings.routeTimeouts) longest = std::max(longest, one);
-        const auto plan = platform::ending(longest);
+        const auto plan = platform::ending(start.settings.longestTimeout());
         log.info("draining", {{"inHand", gateway->inHand()}});
         after(plan.acceptsFor, [this, plan] {
-            gateway->drain([this] { after(kLastWords, [this] { context.stop(); }); });
+            gateway->drain([this, plan] { after(plan.lastWords, [this] { context.stop(); }); });
             if (gateway->inHand() == 0) return;
             after(plan.answersBy - plan.acceptsFor, [this] { gateway->endInHand(); });
         });
--- a/src/platform/upstreams.hpp
+++ b/src/platform/upstreams.hpp
@@ -2,9 +2,8 @@
 // Whom to call is not decided here.
 #pragma once
 
-#include <deque>
-
 #include "../base/clock.hpp"
+#include "../gateway/idle_connections.hpp"
 #include "../gateway/ways.hpp"
 #include "../resp/client.hpp"
 #include "directory.hpp"
@@ -18,32 +17,32 @@
   public:
     RespUpstreams(asio::io_context &context, const Clock &clock, const Directory &directory,
                   const Bounds &bounds, const wire::BirthSettings &settings);
-    ~RespUpstreams() override;
 
     std::shared_ptr<Call> take(const ServerId &server) override;
-    void closeIdle(const ServerId &server) override;
-    void sweep(Span now) override;
+    void closeIdle(const ServerId &server) override { idle.close(server); }
+    void sweep(Span now) override { idle.sweep(now, bounds.idleFor); }
     void probe(const ServerId &server, Probed done) override;
-    std::size_t connections() const { return open; }
+    std::size_t connections() const { return busy + idle.size(); }
 
   private:
     friend class RespCall;
-    using Connection = std::shared_ptr<resp::ClientConnection>;
-    struct Idle {
-        Connection connection;
-        Directory::Place place;
+    struct Placed : resp::ClientConnection {
+        Placed(asio::io_context &io, resp::Limits limits, const Directory::Place &at)
+            : ClientConnection(io, limits), place(at) {}
+        const Directory::Place place;
     };
-    Connection connect(const ServerId &server, const Directory::Place &place);
-    void give(const ServerId &server, const Directory::Place &place, const Connection &connection);
-    void dropOldest();
+    using Connection = std::shared_ptr<Placed>;
+    Connection connect(const ServerId &server);  // empty: it has no place, or a bound is reached
+    // Every connection taken is given back once, whatever became of it.
+    void give(const ServerId &server, const Connection &connection);
 
     asio::io_context &context;
     const Clock &clock;
     const Directory &directory;
     Bounds bounds;
     const wire::BirthSettings &settings;
-    std::map<ServerId, std::deque<Idle>> idle;  // the latest used last
-    std::size_t open = 0;                       // busy and idle ones
+    IdleConnections<Placed> idle;
+    std::size_t busy = 0;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/platform/ways.cpp
+++ b/src/platform/ways.cpp
@@ -1,17 +1,9 @@
 #include "ways.hpp"
 
-#include "../base/address.hpp"
-
 namespace deckcart::platform {
 
-constexpr std::size_t kMostWords = 4096;  // of a command beside its body: key and list, each
-
 std::unique_ptr<Front> PlatformWays::front(const GatewayOrders &, FrontOwner owner) const {
-    resp::DoorLimits limits;
-    limits.connections = bounds.clients;
-    limits.message.bulkBytes = bounds.bodyBytes,
-    limits.message.totalBytes = bounds.bodyBytes + 2 * kMostWords;
-    return std::make_unique<RespFront>(context, clock, *parseAddress(start.listen), limits, start.settings,
+    return std::make_unique<RespFront>(context, clock, start.listen, doorLimits(bounds), start.settings,
                                        std::move(owner));
 }
 std::unique_ptr<Upstreams> PlatformWays::upstreams(const GatewayOrders &) const {
@@ -21,10 +13,9 @@
 }
 std::unique_ptr<Desk> PlatformWays::desk(const GatewayOrders &, DeskOwner owner) const {
     directory.note(start.known);
-    auto out = std::make_unique<PlatformDesk>(
-        context, directory, start.settings,
-        PlatformDesk::At{*parseAddress(start.discovery), *parseAddress(start.control)}, start.seed, log,
-        start.known.generation, std::move(owner));
+    auto out = std::make_unique<PlatformDesk>(context, directory, start.settings,
+                                              PlatformDesk::At{start.discovery, start.control}, start.seed,
+                                              log, start.known.generation, std::move(owner));
     desks = out.get();
     return out;
 }
--- a/src/resp/client.cpp
+++ b/src/resp/client.cpp
@@ -11,25 +11,14 @@
 ClientConnection::ClientConnection(asio::io_context &context, Limits limits)
     : socket(context), timer(context), parser(Parser::What::reply, limits) {}
 
-void ClientConnection::call(const tcp::endpoint &to, Span connectWithin, std::string bytes, Done tell) {
-    done = std::move(tell), outgoing = std::move(bytes), written = 0, sentAll = false;
+void ClientConnection::call(const tcp::endpoint &to, Span within, std::string bytes, Done tell) {
+    done = std::move(tell), outgoing = std::move(bytes), written = 0;
     const auto no = ++callNo;
     if (connected) return send();
-    timer.expires_after(connectWithin);
-    timer.async_wait([weak = weak_from_this(), no](asio::error_code fault) {
-        const auto self = weak.lock();
-        if (!fault && self && !self->connected && self->callNo == no) self->finish(CallEnd::connectFailed);
-    });
-    socket.async_connect(to, [self = shared_from_this(), no](asio::error_code fault) {
-        if (self->closed || self->callNo != no) return;
-        // Read after its bound, as after a standstill of this process, it is late as well.
-        const bool late = self->timer.expiry() <= std::chrono::steady_clock::now();
-        self->timer.cancel();
-        if (fault || late) return self->finish(CallEnd::connectFailed);
+    connectWithin(socket, timer, to, within, [self = shared_from_this(), no](bool made) {
+        if (self->closed || self->connected || self->callNo != no) return;
+        if (!made) return self->finish(CallEnd::connectFailed);
         self->connected = true;
-        asio::error_code ignored;
-        self->socket.set_option(tcp::no_delay(true), ignored);
-        self->socket.non_blocking(true, ignored);
         self->send();
     });
 }
@@ -46,7 +35,7 @@
         });
         return;
     }
-    if (written == outgoing.size()) return void(sentAll = true);
+    if (handedOver()) return;
     socket.async_wait(tcp::socket::wait_write,
                       [self = shared_from_this(), no = callNo](asio::error_code bad) {
                           if (self->closed || self->callNo != no) return;
@@ -83,7 +72,7 @@
 }
 
 void ClientConnection::look() {
-    if (!connected || closed || !done || !sentAll) return;
+    if (!connected || closed || !done || !handedOver()) return;
     const auto self = shared_from_this();
     readable();
 }
@@ -93,15 +82,14 @@
     asio::error_code fault;
     socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
     if (fault == asio::error::would_block) return true;
-    onIdleClosed = nullptr;
-    shut();
+    drop();
     return false;
 }
 
 void ClientConnection::finish(CallEnd how, Value value) {
     const auto self = shared_from_this();
     const Done tell = std::exchange(done, nullptr);
-    if (how != CallEnd::complete || tainted || !sentAll) shut();
+    if (how != CallEnd::complete || tainted || !handedOver()) shut();
     if (tell) tell(how, std::move(value));
 }
 
--- a/src/resp/client.hpp
+++ b/src/resp/client.hpp
@@ -2,22 +2,13 @@
 // command's last byte was handed to the socket. Sends nothing again.
 #pragma once
 
-#include <asio.hpp>
-#include <functional>
 #include <memory>
 
-#include "../base/clock.hpp"
+#include "../base/socket.hpp"
 #include "message.hpp"
 
 namespace deckcart::resp {
 
-enum class CallEnd {
-    complete,       // the whole reply came
-    connectFailed,  // no connection: nothing was handed over
-    broken,         // the connection failed or closed before the reply's end
-    garbage         // what came is no reply
-};
-
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
   public:
     using Done = std::function<void(CallEnd, Value)>;
@@ -32,7 +23,8 @@
     bool stillQuiet();
     void look();  // reads what has come already; may call back
     bool answerBegun() const { return parser.begun() || parser.faulty(); }  // bytes of a reply have come
-    bool handedOver() const { return sentAll; }                             // the present command's last byte
+    // The present command's last byte.
+    bool handedOver() const { return !outgoing.empty() && written == outgoing.size(); }
     std::uint64_t callNumber() const { return callNo; }
     std::function<void()> onIdleClosed;  // it has closed, or spoken, while idle
     Span idleSince{};
@@ -50,7 +42,7 @@
     Done done;
     std::string outgoing;
     std::size_t written = 0;
-    bool connected = false, closed = false, reading = false, sentAll = false, tainted = false;
+    bool connected = false, closed = false, reading = false, tainted = false;
     std::uint64_t callNo = 0;
 };
 
--- /dev/null
+++ b/src/resp/room.cpp
@@ -0,0 +1,29 @@
+#include "room.hpp"
+
+namespace deckcart::resp {
+
+// Those that are ending first, then who never spoke, who only waits for an error, who has nothing to ask. One
+// whose bytes wait to be read is not silent.
+int dispensable(const Standing &one, const DoorLimits &limits) {
+    if (one.lingering) return 4;
+    if (one.inHand) return one.refused ? 2 : 0;
+    if (one.unread) return 0;
+    if (!one.spoke) return 3;
+    return !one.begun && one.quietFor > limits.pressedIdleFor ? 1 : 0;
+}
+
+Due dueOf(const Standing &one, const DoorLimits &limits, bool isPressed) {
+    if (one.inHand && one.errorDue) return Due::error;
+    if (one.lingering) return one.quietFor >= limits.lingerFor ? Due::close : Due::nothing;
+    if (one.writing && one.stalledFor > limits.slowPeerFor) return Due::cut;
+    if (one.inHand || one.writing) return Due::nothing;
+    if (one.begun) return one.begunFor > limits.messageWithin ? Due::incomplete : Due::nothing;
+    const Span most = !one.spoke ? limits.silentFor : isPressed ? limits.pressedIdleFor : limits.idleFor;
+    return one.quietFor > most ? Due::linger : Due::nothing;
+}
+
+bool pressed(std::size_t connections, const DoorLimits &limits) {
+    return connections * 2 > limits.connections;
+}
+
+}  // namespace deckcart::resp
--- /dev/null
+++ b/src/resp/room.hpp
@@ -0,0 +1,46 @@
+// Who of a door's connections has had its time, and who makes room when all places are taken. Pure.
+#pragma once
+
+#include "../base/clock.hpp"
+#include "message.hpp"
+
+namespace deckcart::resp {
+
+// What may come through a door, each with what it guards against. Times are kept to kSweepEvery.
+struct DoorLimits {
+    std::size_t connections = 1024;  // beyond it who says nothing, or idles, makes room; else accepting waits
+    Limits message;                  // a message over it: an error and the connection's end
+    std::size_t pipelined = 64;      // commands of one connection in hand; the door reads on as they end
+    std::size_t waitingBytes = 256 * 1024;  // of answers for a slow reader; the door reads on as they go
+    Span silentFor = std::chrono::milliseconds(1500);      // from connecting to the first byte
+    Span messageWithin = std::chrono::milliseconds(1500);  // from a command's first byte to its last
+    Span idleFor = std::chrono::seconds(30);               // between commands
+    Span pressedIdleFor = std::chrono::seconds(2);         // the same from half of the connections on
+    Span slowPeerFor = std::chrono::seconds(5);          // a reader that takes nothing for so long is cut off
+    Span refusalAfter = std::chrono::milliseconds(250);  // of what can't be served: floods that come back
+    Span lingerFor = std::chrono::milliseconds(500);     // for a peer to read the last answer before the end
+};
+
+// How a connection stands at a moment.
+struct Standing {
+    bool inHand = false;     // it has commands that are not answered,
+    bool refused = false;    // and the first of them waits for its error,
+    bool errorDue = false;   // whose time has come
+    bool lingering = false;  // the last word is said
+    bool spoke = false;      // bytes of it were read
+    bool unread = false;     // bytes of it wait to be read
+    bool begun = false;      // half a command was read
+    bool writing = false;    // it has not taken all that it was told
+    Span quietFor{};         // since it last asked, or was answered
+    Span begunFor{};         // since the command's first byte
+    Span stalledFor{};       // since it last took something
+};
+
+// The higher, the sooner it makes room; 0: it can't.
+int dispensable(const Standing &one, const DoorLimits &limits);
+
+enum class Due { nothing, error, cut, close, linger, incomplete };
+Due dueOf(const Standing &one, const DoorLimits &limits, bool pressed);
+bool pressed(std::size_t connections, const DoorLimits &limits);
+
+}  // namespace deckcart::resp
--- a/src/resp/server.cpp
+++ b/src/resp/server.cpp
@@ -1,10 +1,11 @@
 #include "server.hpp"
 
-#include <algorithm>
 #include <array>
 #include <deque>
 #include <set>
 
+#include "../base/socket.hpp"
+
 namespace deckcart::resp {
 
 using asio::ip::tcp;
@@ -17,17 +18,18 @@
 struct Door::Core : std::enable_shared_from_this<Door::Core> {
     Core(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &most, Handler take)
         : context(io), acceptor(io), limits(most), handler(std::move(take)), retry(io), sweeper(io) {
-        acceptor.open(at.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        acceptor.bind(at);
-        acceptor.listen(1024);
-        acceptor.non_blocking(true);
+        listenAt(acceptor, at);
         local = acceptor.local_endpoint();
     }
     void accept();
     void take();
     void sweep();
     bool makeRoom();
+    // Whatever leaves meanwhile.
+    void each(auto what) {
+        const std::vector<std::shared_ptr<ServerConnection>> all(open.begin(), open.end());
+        for (const auto &one : all) what(*one);
+    }
 
     asio::io_context &context;
     tcp::acceptor acceptor;
@@ -45,9 +47,7 @@
     ServerConnection(std::shared_ptr<Door::Core> of, tcp::socket with)
         : door(std::move(of)), socket(std::move(with)), parser(Parser::What::command, door->limits.message),
           since(std::chrono::steady_clock::now()) {
-        asio::error_code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        socket.non_blocking(true, ignored);
+        settle(socket);
     }
 
     void read() {
@@ -61,13 +61,15 @@
         });
     }
 
-    // Whoever can make room under pressure, the least missed first; 0: it can't.
-    int dispensable(Time now) const {
-        if (lingering) return 4;
-        if (!slots.empty()) return slots.front()->refused ? 2 : 0;
-        if (unread) return 0;
-        if (!spoke) return 3;
-        return !parser.begun() && now - since > door->limits.pressedIdleFor ? 1 : 0;
+    Standing standing(Time now) const {
+        const auto span = [now](Time from) { return std::chrono::duration_cast<Span>(now - from); };
+        Standing out;
+        out.inHand = !slots.empty(), out.refused = out.inHand && slots.front()->refused;
+        out.errorDue = refuseAt != Time{} && now >= refuseAt;
+        out.lingering = lingering, out.spoke = spoke, out.unread = unread, out.begun = parser.begun();
+        out.writing = !outgoing.empty();
+        out.quietFor = span(since), out.begunFor = span(began), out.stalledFor = span(progress);
+        return out;
     }
     Time lastActive() const { return since; }
     // Bytes have come that this process has not read yet: that is not saying nothing.
@@ -80,19 +82,15 @@
         if (slots.empty() && !parser.begun() && pending.empty()) linger();
     }
 
-    void sweep(Time now, bool pressed) {
-        const auto &most = door->limits;
-        if (!slots.empty() && refuseAt != Time{} && now >= refuseAt) return refusalDue();
-        if (lingering) {
-            if (now >= since + most.lingerFor) shut(false);
-            return;
+    void sweep(Time now, bool isPressed) {
+        switch (dueOf(standing(now), door->limits, isPressed)) {
+        case Due::nothing: return;
+        case Due::error: return refusalDue();
+        case Due::cut: return shut(true);
+        case Due::close: return shut(false);
+        case Due::linger: return linger();
+        case Due::incomplete: return fail("the command is not complete in time");
         }
-        if (outgoing.size() > gone && now - progress > most.slowPeerFor) return shut(true);
-        if (!slots.empty() || !outgoing.empty()) return;
-        if (parser.begun()) {
-            if (now - began > most.messageWithin) fail("the command is not complete in time");
-        } else if (now - since > (!spoke ? most.silentFor : pressed ? most.pressedIdleFor : most.idleFor))
-            linger();
     }
 
     void shut(bool reset) {
@@ -152,6 +150,11 @@
         read();
     }
 
+    std::shared_ptr<Exchange> addSlot() {
+        slots.push_back(std::make_shared<Exchange>());
+        slots.back()->connection = weak_from_this();
+        return slots.back();
+    }
     void feed(std::string_view bytes) {
         while (!bytes.empty() && !closed && !faulty) {
             if (!mayRead()) return void(pending.append(bytes));
@@ -159,25 +162,18 @@
             bytes.remove_prefix(parser.feed(bytes));
             if (parser.faulty()) return fail(parser.fault());
             if (!parser.done()) continue;
-            const auto made = std::make_shared<Exchange>();
-            made->args.reserve(8);
+            const auto made = addSlot();
             for (auto &item : parser.take().items) made->args.push_back(std::move(*item));
-            made->connection = weak_from_this();
-            slots.push_back(made);
             // The buffer is shared: what is left of it must not be lost if the handler comes back here.
             const std::string rest(bytes);
             door->handler(made);
-            if (rest.empty()) return;
-            if (closed || faulty) return;
-            return feedLater(rest);
+            if (rest.empty() || closed || faulty) return;
+            pending.insert(0, rest);
+            return goOn();
         }
     }
     // Goes on with what was read ahead on a turn of its own, so that a long pipeline neither nests nor holds
     // up others.
-    void feedLater(const std::string &rest) {
-        pending.insert(0, rest);
-        goOn();
-    }
     void goOn() {
         if (goingOn || pending.empty() || closed || faulty || !mayRead()) return;
         goingOn = true;
@@ -194,10 +190,7 @@
     void fail(const std::string &words) {
         faulty = true;
         pending.clear();
-        const auto made = std::make_shared<Exchange>();
-        made->connection = weak_from_this();
-        slots.push_back(made);
-        made->refuse("ERR " + words);
+        addSlot()->refuse("ERR " + words);
     }
     void refusalDue() {
         refuseAt = {};
@@ -315,7 +308,7 @@
         std::shared_ptr<ServerConnection> which;
         int least = 0;
         for (const auto &one : open) {
-            const int how = one->dispensable(now);
+            const int how = dispensable(one->standing(now), limits);
             if (how > least || (how == least && how > 0 && one->lastActive() < which->lastActive()))
                 which = one, least = how;
         }
@@ -329,9 +322,7 @@
 void Door::Core::sweep() {
     if (closed) return;
     const Time now = std::chrono::steady_clock::now();
-    const bool pressed = open.size() * 2 > limits.connections;
-    const std::vector<std::shared_ptr<ServerConnection>> all(open.begin(), open.end());
-    for (const auto &one : all) one->sweep(now, pressed);
+    each([now, isPressed = pressed(open.size(), limits)](auto &one) { one.sweep(now, isPressed); });
     sweeper.expires_after(kSweepEvery);
     sweeper.async_wait([weak = weak_from_this()](asio::error_code fault) {
         if (const auto self = weak.lock(); self && !fault) self->sweep();
@@ -350,8 +341,7 @@
     asio::error_code ignored;
     core->acceptor.close(ignored);
     core->retry.cancel(), core->sweeper.cancel();
-    const std::vector<std::shared_ptr<ServerConnection>> all(core->open.begin(), core->open.end());
-    for (const auto &one : all) one->shut(false);
+    core->each([](auto &one) { one.shut(false); });
 }
 
 tcp::endpoint Door::address() const { return core->local; }
@@ -362,8 +352,7 @@
     asio::error_code ignored;
     core->acceptor.close(ignored);
     core->retry.cancel();
-    const std::vector<std::shared_ptr<ServerConnection>> all(core->open.begin(), core->open.end());
-    for (const auto &one : all) one->drain();
+    core->each([](auto &one) { one.drain(); });
 }
 
 }  // namespace deckcart::resp
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -6,26 +6,10 @@
 #include <functional>
 #include <memory>
 
-#include "../base/clock.hpp"
-#include "message.hpp"
+#include "room.hpp"
 
 namespace deckcart::resp {
 
-// What may come through a door, each with what it guards against. Times are kept to kSweepEvery.
-struct DoorLimits {
-    std::size_t connections = 1024;  // beyond it who says nothing, or idles, makes room; else accepting waits
-    Limits message;                  // a message over it: an error and the connection's end
-    std::size_t pipelined = 64;      // commands of one connection in hand; the door reads on as they end
-    std::size_t waitingBytes = 256 * 1024;  // of answers for a slow reader; the door reads on as they go
-    Span silentFor = std::chrono::milliseconds(1500);      // from connecting to the first byte
-    Span messageWithin = std::chrono::milliseconds(1500);  // from a command's first byte to its last
-    Span idleFor = std::chrono::seconds(30);               // between commands
-    Span pressedIdleFor = std::chrono::seconds(2);         // the same from half of the connections on
-    Span slowPeerFor = std::chrono::seconds(5);          // a reader that takes nothing for so long is cut off
-    Span refusalAfter = std::chrono::milliseconds(250);  // of what can't be served: floods that come back
-    Span lingerFor = std::chrono::milliseconds(500);     // for a peer to read the last answer before the end
-};
-
 class ServerConnection;
 
 // One command. Answered once; what is written after the peer has gone goes nowhere.
--- a/src/settings/orders.cpp
+++ b/src/settings/orders.cpp
@@ -294,6 +294,10 @@
 
 }  // namespace
 
+int accountNo(const std::vector<std::string> &accounts, std::string_view name) {
+    return accounts.empty() ? 0 : int(std::ranges::find(accounts, name) - accounts.begin());
+}
+
 int GatewayOrders::zoneNo(const std::string &name) const {
     const auto it = std::ranges::find(zones, name);
     return it == zones.end() ? 0 : int(it - zones.begin());
--- a/src/settings/orders.hpp
+++ b/src/settings/orders.hpp
@@ -60,6 +60,7 @@
     HeaderNames headers;
     http::DoorLimits door;
     std::size_t reqsInHand = 4096;
+    Span turnedAwayFor = std::chrono::seconds(1);       // a req over that bound is told to come back then
     Span answerMargin = std::chrono::milliseconds(30);  // final answers leave so long before the client's end
     Span standstill =
         std::chrono::milliseconds(200);  // a turn of the loop later than that found a stopped clock
@@ -72,6 +73,9 @@
     int zoneNo(const std::string &name) const;  // 0 for one that is not named
 };
 
+// Its place among the shares. One that is not named is past their end: it has none, and no excess either.
+int accountNo(const std::vector<std::string> &accounts, std::string_view name);
+
 struct OrdersRead {
     std::optional<GatewayOrders> orders;  // empty where anything is refused
     std::vector<Refusal> refused;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -1,5 +1,6 @@
 #include "wire.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <iostream>
 #include <string_view>
@@ -162,6 +163,10 @@
 
 }  // namespace
 
+Span BirthSettings::longestTimeout() const {
+    return routeTimeouts.empty() ? Span{0} : *std::ranges::max_element(routeTimeouts);
+}
+
 BirthSettings readSettings(const json &from, std::uint64_t seed) {
     if (!from.is_object()) throw BadBatch("the settings are no object");
     BirthSettings out;
--- a/src/wire/wire.hpp
+++ b/src/wire/wire.hpp
@@ -32,6 +32,8 @@
     Span keptIdle{};                      // connections to instances: closed when idle for so long
     Span connectWithin{};
     std::size_t reqsInHand = 0;
+
+    Span longestTimeout() const;
 };
 // Throws BadBatch, which names the field.
 BirthSettings readSettings(const nlohmann::json &settings, std::uint64_t seed);
--- a/tests/path/bench.hpp
+++ b/tests/path/bench.hpp
@@ -185,7 +185,29 @@
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
-class Path : public testing::Test {
+// A loop, run until something is so.
+class Loop : public testing::Test {
+  protected:
+    // False after a bound that no sound run comes near.
+    bool until(const std::function<bool()> &so, std::chrono::milliseconds most = 8s) {
+        const auto end = std::chrono::steady_clock::now() + most;
+        while (!so()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            io.restart();
+            io.run_one_for(10ms);
+        }
+        return true;
+    }
+    // Lets what was dropped be told.
+    void settleDown() {
+        io.restart();
+        io.run_for(1ms);
+    }
+    asio::io_context io;
+    JumpingClock clock;
+};
+
+class Path : public Loop {
   protected:
     Path() : desk(io) {
         document = json::parse(R"({
@@ -200,8 +222,7 @@
     void TearDown() override {
         clients.clear();
         gateway.reset();
-        io.restart();
-        io.run_for(1ms);
+        settleDown();
     }
     ScriptedInstance &instance(ScriptedInstance::Script script) {
         auto &made = instances.emplace_back(io, std::move(script));
@@ -234,16 +255,6 @@
         EXPECT_TRUE(std::all_of(clients.begin() + first, clients.end(),
                                 [](auto &c) { return statusOf(c.in) == 200; }));
     }
-    // Runs the loop until it is so; false after a bound that no sound run comes near.
-    bool until(const std::function<bool()> &so, std::chrono::milliseconds most = 8s) {
-        const auto end = std::chrono::steady_clock::now() + most;
-        while (!so()) {
-            if (std::chrono::steady_clock::now() > end) return false;
-            io.restart();
-            io.run_one_for(10ms);
-        }
-        return true;
-    }
     static int statusOf(const std::string &answer) {
         return answer.size() > 12 ? std::atoi(answer.c_str() + 9) : 0;
     }
@@ -251,8 +262,6 @@
         return answer.find(what) != std::string::npos;
     }
 
-    asio::io_context io;
-    JumpingClock clock;
     ScriptedDesk desk;
     json document;
     std::deque<ScriptedInstance> instances;
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -114,14 +114,13 @@
     http::Door door;
 };
 
-class Platform : public testing::Test {
+class Platform : public Loop {
   protected:
     Platform() : standin(io) {}
     void TearDown() override {
         clients.clear();
         gateway.reset();
-        io.restart();
-        io.run_for(1ms);
+        settleDown();
     }
     RespInstance &instance(RespInstance::Script script, int build = 1) {
         auto &made = instances.emplace_back(io, std::move(script));
@@ -147,7 +146,7 @@
                      "RetryAfter": true, "MaxRetryAfterS": 0.5},
           "Safety": {"TipMultiple": 2.5, "OverloadForS": 3}, "Discovery": "automatic"})")}};
         configuration = platform::readStart(doc.dump());
-        const auto bounds = platform::divide(sockets, 32, 1000, configuration.settings.keptIdle);
+        auto bounds = platform::divide(sockets, 32, 1000, configuration.settings.keptIdle);
         ways = std::make_unique<platform::PlatformWays>(io, clock, configuration, bounds, Log());
         gateway =
             std::make_unique<Gateway>(io, clock, platform::ordersOf(configuration, bounds), 1, Log(), *ways);
@@ -176,18 +175,6 @@
         for (const auto &one : instances) n += one.commands.size();
         return n;
     }
-    bool until(const std::function<bool()> &so, std::chrono::milliseconds most = 8s) {
-        const auto end = std::chrono::steady_clock::now() + most;
-        while (!so()) {
-            if (std::chrono::steady_clock::now() > end) return false;
-            io.restart();
-            io.run_one_for(10ms);
-        }
-        return true;
-    }
-
-    asio::io_context io;
-    JumpingClock clock;
     Standin standin;
     platform::Start configuration;
     std::unique_ptr<platform::PlatformWays> ways;
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -1,6 +1,7 @@
 // The platform's documents, commands and bounds as values: what is read, and what is refused with its place.
 #include <gtest/gtest.h>
 
+#include "../../src/base/address.hpp"
 #include "../../src/platform/commands.hpp"
 #include "../../src/platform/directory.hpp"
 #include "../../src/platform/front.hpp"
@@ -239,7 +240,8 @@
     Directory where;
     Members told{1, true, {}};
     Member member;
-    member.entry.id = "s", member.entry.build = 41, member.address = "127.0.0.1:7000", member.startedAtMs = 5;
+    member.entry.id = "s", member.entry.build = 41, member.address = parseAddress("127.0.0.1:7000"),
+    member.startedAtMs = 5;
     told.members.push_back(member);
     where.note(told);
     const auto first = *where.find("s");
