Lists are read whatever their white space; a silent watch is heard anew within 6 s

Seen: an indented list ends its watch as unreadable, again and again: the reader took each line as one document (src/platform/desk.cpp, the list's Stream::Line). And a watch that fell silent was opened anew after 5 s, a mute new one after 5 s more: told 10 s late where the platform counts 6 (Stream::watch, listTimes).

Ruled out: discovery's generations (the same bytes on one line are read) and the bound of a line, by a test that writes one list byte by byte.

Change: whole JSON values out of the stream's bytes (json_values, pure), faults found at the byte that shows them; a new watch has 0.8 s for its first whole word, twice that at each in a row; the old one goes with that word, not with half of it. Worst with two mute ones: 3 + 0.8 + 1.6 s.

--- a/src/http/fetch.cpp
+++ b/src/http/fetch.cpp
@@ -11,9 +11,10 @@
 
 std::shared_ptr<Fetch> Fetch::start(asio::io_context &context, const asio::ip::tcp::endpoint &to,
                                     RequestHead head, const std::string &body, Span within, Done done,
-                                    Line line) {
+                                    Line line, Cut cut) {
     const std::shared_ptr<Fetch> call(new Fetch(context));
     call->self = call, call->within = within, call->done = std::move(done), call->line = std::move(line);
+    call->cut = cut;
     if (!head.find("Host")) head.headers.insert(head.headers.begin(), {"Host", format(to)});
     if (!body.empty()) head.length = body.size();
     head.keepAlive = false;
@@ -45,6 +46,7 @@
     }
     arm();
     const auto held = self;
+    if (cut == Cut::nowhere) return line(part);
     partial.append(part);
     std::size_t from = 0;
     for (auto at = partial.find('\n'); at != std::string::npos && self; at = partial.find('\n', from)) {
--- a/src/http/fetch.hpp
+++ b/src/http/fetch.hpp
@@ -21,12 +21,13 @@
   public:
     using Done = std::function<void(const Fetched &)>;
     using Line = std::function<void(std::string_view)>;
+    enum class Cut { atLines, nowhere };  // how a watch is told: line by line, or as the bytes come
 
     // Calls back exactly once, never from within start(), unless stopped before. The host field is written
     // here.
     static std::shared_ptr<Fetch> start(asio::io_context &context, const asio::ip::tcp::endpoint &to,
                                         RequestHead head, const std::string &body, Span within, Done done,
-                                        Line line = nullptr);
+                                        Line line = nullptr, Cut cut = Cut::atLines);
     void stop();  // no call back any more
 
   private:
@@ -43,6 +44,7 @@
     Fetched result;
     Done done;
     Line line;
+    Cut cut = Cut::atLines;
     std::string partial;
     std::shared_ptr<Fetch> self;  // until the end
 };
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -1,9 +1,11 @@
 #include "desk.hpp"
 
 #include "../base/back_off.hpp"
+#include "json_values.hpp"
 
 namespace deckcart::platform {
 
+constexpr std::size_t kMostList = 8 * 1024 * 1024;
 constexpr Span kNever = std::chrono::hours(24 * 365);  // a leg's own silence: the stream watches it
 
 Span onClock(std::int64_t unixMs) {
@@ -26,15 +28,15 @@
 
 struct Stream::Leg {
     std::shared_ptr<http::Fetch> fetch;
-    Line line;
-    std::chrono::steady_clock::time_point spoke{};
+    Reader reader;
+    std::chrono::steady_clock::time_point spoke{};  // before its first word: opened
     bool dead = false;
 };
 
 Stream::Stream(asio::io_context &io, StreamTimes with, std::uint64_t seed, Log to, const char *named,
-               std::function<std::string()> path, std::function<Line()> lines)
+               std::function<std::string()> path, std::function<Reader()> readers)
     : context(io), times(with), chance(std::mt19937::result_type(seed)), log(std::move(to)), name(named),
-      target(std::move(path)), reader(std::move(lines)), timer(io), watchdog(io) {}
+      target(std::move(path)), reader(std::move(readers)), timer(io), watchdog(io) {}
 
 Stream::~Stream() {
     *alive = false;
@@ -50,14 +52,15 @@
 
 void Stream::open(const asio::ip::tcp::endpoint &to) {
     address = to;
-    failures = 0;
+    failures = mute = 0;
     start();
 }
 
 void Stream::start() {
     drop(coming);
+    timer.cancel();
     const auto leg = std::make_shared<Leg>();
-    leg->line = reader();
+    leg->reader = reader(), leg->spoke = std::chrono::steady_clock::now();
     http::RequestHead head;
     head.method = "GET", head.target = target();
     coming = leg;
@@ -70,34 +73,49 @@
             if (leg == coming) coming = nullptr;
             if (!coming) again();
         },
-        [this, leg, here = std::weak_ptr(alive)](std::string_view line) {
-            if (here.expired() || leg->dead) return;
-            if (leg == coming) {
-                drop(standing);
-                standing = std::exchange(coming, nullptr);
-                failures = 0;
-            }
-            leg->spoke = std::chrono::steady_clock::now();
-            try {
-                leg->line(line);
-            } catch (const std::exception &fault) {
-                log.warn("unreadable", {{"stream", name}, {"fault", fault.what()}});
-                if (leg == standing) drop(standing);
-                if (!coming) again();
-            }
-        });
-    watch(std::chrono::steady_clock::now() + times.silentFor);
+        [this, leg, here = std::weak_ptr(alive)](std::string_view bytes) {
+            if (!here.expired() && !leg->dead) said(leg, bytes);
+        },
+        http::Fetch::Cut::nowhere);
+    watch();
+}
+
+// The one that stands goes with the first whole word of the new one, not with half of it.
+void Stream::said(const std::shared_ptr<Leg> &leg, std::string_view bytes) {
+    bool whole = false, readable = true;
+    try {
+        whole = leg->reader(bytes);
+    } catch (const std::exception &fault) {
+        log.warn("unreadable", {{"stream", name}, {"fault", fault.what()}});
+        readable = false;
+    }
+    if (leg->dead) return;  // what it told has moved the stream
+    if (whole) leg->spoke = std::chrono::steady_clock::now();
+    if (whole && leg == coming) {
+        drop(standing);
+        standing = std::exchange(coming, nullptr);
+        failures = mute = 0;
+        watch();
+    }
+    if (readable) return;
+    drop(leg == standing ? standing : coming);
+    if (!coming) again();
 }
 
-// Silence: another one is opened beside the one that stands, which may still speak first.
-void Stream::watch(std::chrono::steady_clock::time_point until) {
-    watchdog.expires_at(until);
-    watchdog.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
-        if (fault || here.expired()) return;
-        const auto now = std::chrono::steady_clock::now();
-        const bool speaks = !coming && standing && now - standing->spoke < times.silentFor;
-        if (speaks) watch(standing->spoke + times.silentFor);
-        else start();
+// Silence: another one is opened beside the one that stands, which may still speak first. One that is mute
+// from the start is opened anew sooner; each in a row has longer, so that a slow one is heard in the end.
+void Stream::watch() {
+    if (!coming && !standing) return;
+    const auto due = [this] {
+        if (!coming) return standing->spoke + times.silentFor;
+        return coming->spoke + std::min(times.silentFor, times.firstWord * (1 << std::min(mute, 6)));
+    };
+    watchdog.expires_at(due());
+    watchdog.async_wait([this, due, here = std::weak_ptr(alive)](asio::error_code fault) {
+        if (fault || here.expired() || (!coming && !standing)) return;
+        if (std::chrono::steady_clock::now() < due()) return watch();
+        mute += coming != nullptr;
+        start();
     });
 }
 
@@ -118,21 +136,24 @@
       list(
           io, listTimes(), seed, log, "discovery",
           [this] { return "/discovery/hosts?stream=1&index=" + std::to_string(generation); },
-          [this]() -> Stream::Line {
-              return [this](std::string_view line) {
-                  if (line.find_first_not_of("\r ") == std::string_view::npos) return;  // a sign of life
-                  took(readMembers(nlohmann::json::parse(line), settings.zones));
+          [this]() -> Stream::Reader {
+              return [this, values = std::make_shared<JsonValues>(kMostList)](std::string_view bytes) {
+                  const auto whole = values->feed(bytes);
+                  for (const auto &text : whole)
+                      took(readMembers(nlohmann::json::parse(text), settings.zones));
+                  return !whole.empty() || !values->inside();  // or a sign of life
               };
           }),
       bulletin(
           io, bulletinTimes(), seed + 1, log, "bulletin", [] { return std::string("/apis/fleet/bulletin"); },
-          [this]() -> Stream::Line {
-              return [this, events = std::make_shared<EventLines>()](std::string_view line) {
-                  const auto event = events->line(line);
-                  if (!event) return;
-                  if (event->first == "news") owner.tell(readNews(readForm(event->second)));
-                  else if (event->first == "counts")
-                      owner.tell(readCounts(readForm(event->second), settings.routes));
+          [this]() -> Stream::Reader {
+              return [this, events = std::make_shared<EventLines>()](std::string_view bytes) {
+                  const bool spoke = bytes.find('\n') != std::string_view::npos;
+                  events->feed(bytes, [this](const std::string &event, const std::string &data) {
+                      if (event == "news") owner.tell(readNews(readForm(data)));
+                      else if (event == "counts") owner.tell(readCounts(readForm(data), settings.routes));
+                  });
+                  return spoke;
               };
           }) {
     list.open(at.discovery);
--- a/src/platform/desk.hpp
+++ b/src/platform/desk.hpp
@@ -16,9 +16,10 @@
 // One stream that is to stand always: opened, opened anew with back-off, moved to another address.
 class Stream {
   public:
-    using Line = std::function<void(std::string_view)>;  // throws where it can't be read
+    // Whether a whole word of the peer's has come, a sign of life among them. Throws where it can't be read.
+    using Reader = std::function<bool(std::string_view bytes)>;
     Stream(asio::io_context &context, StreamTimes times, std::uint64_t seed, Log log, const char *name,
-           std::function<std::string()> target, std::function<Line()> reader);
+           std::function<std::string()> target, std::function<Reader()> reader);
     ~Stream();
     void open(const asio::ip::tcp::endpoint &at);  // the one that stands is kept until the new one speaks
 
@@ -26,7 +27,8 @@
     struct Leg;
     void start();
     void again();
-    void watch(std::chrono::steady_clock::time_point until);
+    void watch();
+    void said(const std::shared_ptr<Leg> &leg, std::string_view bytes);
     void drop(std::shared_ptr<Leg> &leg);
 
     asio::io_context &context;
@@ -35,11 +37,11 @@
     Log log;
     const char *name;
     std::function<std::string()> target;
-    std::function<Line()> reader;
+    std::function<Reader()> reader;
     asio::ip::tcp::endpoint address;
     std::shared_ptr<Leg> standing, coming;
     asio::steady_timer timer, watchdog;
-    int failures = 0;  // in a row
+    int failures = 0, mute = 0;  // in a row: ended, or gave no first word in time
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -41,9 +41,16 @@
     return {kAcceptsFor, std::min(longestTimeout, kLongestCounted) + kKillMargin, kLastWords};
 }
 
-// Signs of life come every 2 s and every second: two of them late, or three.
-StreamTimes listTimes() { return {milliseconds(5000), milliseconds(50), milliseconds(1000)}; }
-StreamTimes bulletinTimes() { return {milliseconds(3000), milliseconds(20), milliseconds(500)}; }
+// Signs of life come every 2 s and every second: one of them late by half, or two. The list's silence has a
+// clock: what it misses counts as told 6 s after it began. Its agent answers at once, but may be mute once or
+// twice: opened anew after 3 s, 3.8 s and 5.4 s of silence, and told by 6 s. The third waits out a sign of
+// life.
+StreamTimes listTimes() {
+    return {milliseconds(3000), milliseconds(800), milliseconds(50), milliseconds(400)};
+}
+StreamTimes bulletinTimes() {
+    return {milliseconds(3000), milliseconds(800), milliseconds(20), milliseconds(500)};
+}
 
 // As long again for the answer as for the connection.
 Span probeWithin(Span connectWithin) { return 2 * connectWithin; }
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -25,6 +25,8 @@
 // A stream that is to stand always.
 struct StreamTimes {
     Span silentFor{};      // of silence that counts as broken
+    Span firstWord{};      // a new one has so long for its first word; twice that at each in a row, up to
+                           // silentFor
     Span first{}, most{};  // pauses before it is opened anew
 };
 Ending ending(Span longestTimeout);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -5,6 +5,7 @@
 #include "../../src/platform/commands.hpp"
 #include "../../src/platform/directory.hpp"
 #include "../../src/platform/front.hpp"
+#include "../../src/platform/json_values.hpp"
 #include "../../src/platform/limits.hpp"
 
 namespace deckcart::platform {
@@ -236,6 +237,35 @@
     EXPECT_LT(names.size(), 300u) << "it does not grow with ids";
 }
 
+TEST(PlatformJsonValues, WholeValuesAreFoundWhateverTheWhiteSpaceAndTheCut) {
+    const auto value = nlohmann::json::parse(
+        R"({"a":[1,-2.5e+3,true,false,null,"q\"}]{\\",{}],"b":{"c":[[],{"d":"x"}]},"e":""})");
+    for (const int indent : {-1, 0, 1, 4})
+        for (const char *between : {"", "\n", "\r\n", " \n\n\t"}) {
+            const std::string two = value.dump(indent) + between + value.dump(indent);
+            for (std::size_t cut = 0; cut <= two.size(); ++cut) {
+                JsonValues values(10000);
+                auto got = values.feed(std::string_view(two).substr(0, cut));
+                for (auto &more : values.feed(std::string_view(two).substr(cut)))
+                    got.push_back(std::move(more));
+                ASSERT_EQ(got.size(), 2u) << indent << " cut at " << cut;
+                EXPECT_EQ(nlohmann::json::parse(got[1]), value);
+                EXPECT_FALSE(values.inside());
+            }
+        }
+}
+
+TEST(PlatformJsonValues, WhatCantBecomeAValueIsFoundAtOnce) {
+    for (const char *odd :
+         {"noise", "[1]", "\"text\"", "{\"a\":fal\n", "{\"a\":tru}", "{\"a\" 1", "{\"a\":1 \"b\"", "{a",
+          "{\"a\":\"x\n", "{\"a\":1,}", "{\"a\":[1,]", "{\"a\":[1}", "{,", "{\"a\":\n{\"b\"}", "{}}", "}"}) {
+        JsonValues values(10000);
+        EXPECT_THROW(values.feed(odd), std::invalid_argument) << odd;
+    }
+    JsonValues bounded(8);
+    EXPECT_THROW(bounded.feed("{\"long\":\""), std::invalid_argument);
+}
+
 TEST(PlatformDirectory, AnotherAddressStartOrBuildIsAnotherPlace) {
     Directory where;
     Members told{1, true, {}};
