Shutdown, closes, hand-overs and idle ends: what crosses is served or not sent

Change: a drain takes the backlog to its end, waits for what is half read or unread, and tells when the last connection has gone; three timers; SIGTERM again is logged. Bytes are built at the hand-over, by HandOver, which looks at the client's socket, the id's place and the time left. Reading goes on 16 KiB behind what is taken up.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -8,7 +8,6 @@
 namespace deckcart {
 
 constexpr int kThawRounds = 200;  // loop turns at most that a standstill's finds are read in
-constexpr auto kSweepEvery = std::chrono::seconds(1);
 
 // What the call of one try tells.
 class Gateway::Sink : public CallOwner {
@@ -206,11 +205,18 @@
 
 void Gateway::drain(std::function<void()> done) {
     drained = std::move(done);
-    front->drain();
-    if (unanswered == 0 && drained) asio::post(context, std::exchange(drained, nullptr));
+    front->drain([this] {
+        frontEnded = true;
+        checkDrained();
+    });
+}
+
+void Gateway::checkDrained() {
+    if (drained && frontEnded && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
 }
 
 void Gateway::endInHand() {
+    ended = true;
     endOverdue([](const Req &) { return true; });
 }
 
@@ -272,7 +278,7 @@
 void Gateway::arrived(std::shared_ptr<TakenReq> taken) {
     turn();
     ++socketEvents;
-    if (unanswered >= given.reqsInHand) {
+    if (ended || unanswered >= given.reqsInHand) {
         ++counted.turnedAway;
         return taken->shed(taken->facts.name, given.turnedAwayFor);
     }
@@ -326,7 +332,11 @@
     if (again == reqs.end()) return;
     if (rq.streaming >= 0 && !rq.tries[std::size_t(rq.streaming)].over)
         return tryEnded(id, rq.streaming, Outcome::cancelled);
-    if (!rq.outstanding()) forget(rq);
+    // What no instance can have got whole does not go out for it any more, whatever the settings say of those
+    // that have been handed over.
+    endUnsent([id](const Req &other, const Try &) { return other.id != id; }, Outcome::moot);
+    if (const auto left = reqs.find(id); left != reqs.end() && !left->second->outstanding())
+        forget(*left->second);
 }
 
 void Gateway::watchDeadline(Req &rq) { wakeIn(rq, rq.told - lastSeen); }
@@ -373,7 +383,7 @@
     else if (shed) rq.taken->shed(rq.name, retryIn);
     else rq.taken->errored(rq.name, late);
     logReq(rq, end);
-    if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
+    checkDrained();
 }
 
 void Gateway::logReq(const Req &rq, const char *end) {
@@ -399,7 +409,7 @@
     rq.taken->onGone = nullptr, rq.taken->onDrained = nullptr;
     reqs.erase(rq.id);
     if (--records[record] == 0 && record != current) records.erase(record), happened(Stopped{}, record);
-    if (drained && unanswered == 0) asio::post(context, std::exchange(drained, nullptr));
+    checkDrained();
 }
 
 // ---- events in, actions out ----
@@ -419,25 +429,25 @@
     for (const auto &[record, n] : records) queue.emplace_back(record, event);
     decide();
     if (std::holds_alternative<ListTold>(event))
-        endUnsent([this](const Try &t) {
+        endUnsent([this](const Req &, const Try &t) {
             const auto entry = list.find(t.server);
             return entry != list.end() && entry->second.readiness == Readiness::live &&
                    entry->second.build == t.build;
         });
-    if (lower) endUnsent([lower](const Try &t) { return t.build != *lower; });
+    if (lower) endUnsent([lower](const Req &, const Try &t) { return t.build != *lower; });
 }
 
 // A try that is still on its way when its instance is told to drain, to run another build, or its build to
 // have a lower cap, would break what has just been told: it ends as one that could not be connected, and
 // where the req goes then is the module's.
-void Gateway::endUnsent(std::function<bool(const Try &)> stays) {
+void Gateway::endUnsent(const std::function<bool(const Req &, const Try &)> &stays, Outcome how) {
     std::vector<std::pair<ReqId, int>> unsent;
     for (const auto &[id, rq] : reqs)
         for (std::size_t k = 0; k < rq->tries.size(); ++k) {
             const Try &t = rq->tries[k];
-            if (!t.over && !stays(t) && !t.call->handedOver()) unsent.push_back({id, int(k)});
+            if (!t.over && !stays(*rq, t) && !t.call->handedOver()) unsent.push_back({id, int(k)});
         }
-    for (const auto &[id, no] : unsent) tryEnded(id, no, Outcome::connectFailed);
+    for (const auto &[id, no] : unsent) tryEnded(id, no, how);
 }
 
 void Gateway::happened(Event event, InstanceId record) {
@@ -521,12 +531,14 @@
     const int no = int(rq.tries.size());
     ServerId server = what.server;
     if (faults.sendsAfterDrain && !drainingServer.empty() && no == 0) server = drainingServer;
-    const auto moot = [&](Outcome how) {
+    const auto moot = [&](Outcome how, bool over = false) {
         Try none;
         none.server = what.server, none.over = true, none.how = how, none.sent = turn();
         rq.tries.push_back(std::move(none));
-        happened(TryEnded{what.req, no, rq.answered, how}, record);
+        happened(TryEnded{what.req, no, over || rq.answered, how}, record);
     };
+    // Its client has closed, and this loop has not come to read that yet.
+    if (!rq.answered && !rq.taken->clientThere()) return moot(Outcome::moot, true);
     // The req is over, or bound to an answer that has begun, or its end has passed on the real clock.
     if (rq.answered || rq.streaming >= 0 || lastSeen >= rq.told) return moot(Outcome::moot);
     const auto call = upstreams->take(server);
@@ -539,7 +551,18 @@
     Sink *sink = t.sink.get();
     const BuildNo build = t.build;
     rq.tries.push_back(std::move(t));
-    call->start(*rq.taken, rq.name, rq.clientEnd - lastSeen, build, sink);
+    call->start(
+        *rq.taken, rq.name, [this, id = rq.id] { return handOver(id); }, build, sink);
+}
+
+// The last look before a try's first byte: its connection may have taken a while.
+std::optional<Span> Gateway::handOver(ReqId id) {
+    const auto it = reqs.find(id);
+    if (it == reqs.end()) return std::nullopt;
+    const Req &rq = *it->second;
+    const Span now = clock.now();
+    if (rq.answered || now >= rq.told || !rq.taken->clientThere()) return std::nullopt;
+    return rq.clientEnd - now;
 }
 
 // Whether a try is out, once what has come of its answer is read: that may end it, and its req.
@@ -572,7 +595,9 @@
     }
     if (faults.repeatsNonRetriable && how == Outcome::reset)
         if (const auto again = upstreams->take(t.server)) {
-            again->start(*rq.taken, rq.name, given.upstream.stalledFor, t.build, &nobody);
+            again->start(
+                *rq.taken, rq.name, [most = given.upstream.stalledFor] { return std::optional(most); },
+                t.build, &nobody);
             repeats.push_back(again);
         }
     happened(TryEnded{id, tryNo, over, how}, rq.record);
@@ -685,7 +710,7 @@
             }
         for (const auto &[id, no] : stalled) tryEnded(id, no, Outcome::timeout);
     }
-    sweeper.expires_after(kSweepEvery);
+    sweeper.expires_after(upstreams->sweepEvery());
     sweeper.async_wait([this, here = std::weak_ptr(alive)](asio::error_code fault) {
         if (!fault && !here.expired()) sweep();
     });
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -57,7 +57,7 @@
     bool mayRestartModule() const;
     // Refuses new reqs, finishes those in hand, then calls back.
     void drain(std::function<void()> done);
-    void endInHand();  // answers whatever is still in hand, as errored
+    void endInHand();  // answers whatever is still in hand, as errored; sheds what comes from now on
     bool
     wrongAnswer(const std::string &reqId);  // a client's report on an answer it got here; false: not known
 
@@ -89,9 +89,12 @@
     void watchDeadline(Req &rq);
     void wakeIn(Req &rq, Span after);
     void deadline(ReqId id);
+    void checkDrained();
+    std::optional<Span> handOver(ReqId id);
     void happened(Event event, InstanceId record);
     void happened(Event event);  // to every record
-    void endUnsent(std::function<bool(const Try &)> stays);
+    void endUnsent(const std::function<bool(const Req &, const Try &)> &stays,
+                   Outcome how = Outcome::connectFailed);
     void decide();
     void carryOut(InstanceId record, const Action &action);
     void send(InstanceId record, const SendTry &what);
@@ -149,7 +152,8 @@
     asio::steady_timer sweeper;
     GatewayCounts counted;
     std::function<void()> drained;
-    ServerId drainingServer;  // for the fault that sends after a drain
+    bool frontEnded = false, ended = false;  // no req can come; what still comes is shed at once
+    ServerId drainingServer;                 // for the fault that sends after a drain
     struct Nobody : CallOwner {
         void onAnswer(std::string_view) override {}
         void onCallEnd(Outcome) override {}
--- a/src/gateway/http_ways.cpp
+++ b/src/gateway/http_ways.cpp
@@ -86,7 +86,7 @@
 
     asio::ip::tcp::endpoint address() const override { return door.address(); }
     void limit() override { door.limit(orders.door); }
-    void drain() override { door.drain(); }
+    void drain(std::function<void()> ended) override { door.drain(), ended(); }
     std::size_t connections() const override { return door.connections(); }
 
   private:
@@ -137,7 +137,8 @@
     HttpCall(Pool &of, const GatewayOrders &with, ServerId to, std::shared_ptr<http::ClientConnection> over)
         : pool(of), orders(with), server(std::move(to)), connection(std::move(over)) {}
 
-    void start(const TakenReq &req, const std::string &name, Span left, BuildNo of, CallOwner *to) override {
+    void start(const TakenReq &req, const std::string &name, HandOver handOver, BuildNo of,
+               CallOwner *to) override {
         owner = to, build = of;
         const auto &exchange = *static_cast<const HttpReq &>(req).exchange;
         const auto &in = exchange.head;
@@ -148,7 +149,9 @@
             if (http::travels(in, h.first) && !http::sameName(h.first, orders.headers.remaining))
                 out.headers.push_back(h);
         if (!in.find(orders.headers.reqId)) out.headers.push_back({orders.headers.reqId, name});
-        // What is left of the client's wait, as it is now.
+        // What is left of the client's wait, as it is now. None: it ends as its connection is made, by its
+        // time.
+        const Span left = handOver().value_or(Span{0});
         out.headers.push_back({orders.headers.remaining, std::to_string(left.count() / 1000)});
         out.headers.push_back({"Via", "1.1 deckcart"});
         if (!exchange.body.empty() || in.length || in.chunked) out.length = exchange.body.size();
--- a/src/gateway/ways.hpp
+++ b/src/gateway/ways.hpp
@@ -7,6 +7,7 @@
 #include <deckcart/policy.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,8 @@
     virtual ~TakenReq() = default;
 
     virtual bool open() const = 0;  // the client is there and no final answer has ended
+    // Looks at the client's socket as well: its close may not have been read yet.
+    virtual bool clientThere() const { return open(); }
     virtual void shed(const std::string &name, Span retryIn) = 0;
     virtual void errored(const std::string &name, bool late) = 0;
     virtual void completed(Call &from, std::string_view answer) = 0;
@@ -53,12 +56,16 @@
     virtual void onCallEnd(Outcome how) = 0;  // ok, or the truth of whether it may have run
 };
 
+// Asked once, when a connection is up and nothing is written yet: what is left of the client's wait then, or
+// empty if the try must not go out any more.
+using HandOver = std::function<std::optional<Span>()>;
+
 // One try's way to an instance. Given back once, by release().
 class Call {
   public:
     virtual ~Call() = default;
-    // Sends what the client has sent; `left`: what is left of its wait. Never calls back from within.
-    virtual void start(const TakenReq &req, const std::string &name, Span left, BuildNo build,
+    // Sends what the client has sent. Never calls back from within.
+    virtual void start(const TakenReq &req, const std::string &name, HandOver handOver, BuildNo build,
                        CallOwner *owner) = 0;
     // Whether the instance may have got the whole of it. What was not handed over can be withdrawn.
     virtual bool handedOver() const = 0;
@@ -78,6 +85,7 @@
     virtual std::shared_ptr<Call> take(const ServerId &server) = 0;
     virtual void closeIdle(const ServerId &server) = 0;
     virtual void sweep(Span now) = 0;  // ends connections that were idle for too long
+    virtual Span sweepEvery() const { return std::chrono::seconds(1); }
     virtual void probe(const ServerId &server, Probed done) = 0;
 };
 
@@ -86,7 +94,9 @@
     virtual ~Front() = default;
     virtual asio::ip::tcp::endpoint address() const = 0;
     virtual void limit() = 0;  // the orders' bounds have changed
-    virtual void drain() = 0;  // takes no more; reqs in hand are answered, each with its connection closed
+    // Takes no more; reqs in hand are answered, each with its connection closed. `ended`, which may be called
+    // from within: no req of its clients can come any more.
+    virtual void drain(std::function<void()> ended) = 0;
     virtual std::size_t connections() const = 0;
 };
 struct FrontOwner {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -17,7 +17,7 @@
 
     asio::ip::tcp::endpoint address() const override { return door.address(); }
     void limit() override {}
-    void drain() override { door.drain(); }
+    void drain(std::function<void()> ended) override { door.drain(std::move(ended)); }
     std::size_t connections() const override { return door.connections(); }
 
   private:
--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -18,8 +18,9 @@
 constexpr Span kAcceptsFor = std::chrono::milliseconds(500), kLongestCounted = std::chrono::seconds(3),
                kKillMargin = std::chrono::milliseconds(550), kLastWords = std::chrono::milliseconds(100);
 constexpr std::size_t kBesideValue = 4096, kMostLine = 512;  // of a reply: its report, and an error's words
-constexpr std::size_t kReplyItems = 4;                       // three are stated
-constexpr Span kRest = std::chrono::milliseconds(5);         // on one machine what comes behind comes at once
+constexpr Span kSweepLeast = std::chrono::milliseconds(50), kSweepMost = std::chrono::seconds(1);
+constexpr std::size_t kReplyItems = 4;                // three are stated
+constexpr Span kRest = std::chrono::milliseconds(5);  // on one machine what comes behind comes at once
 
 Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle) {
     Bounds out;
@@ -33,6 +34,7 @@
     out.valueBytes = std::clamp(memory / kAnswersAtOnce, kValueLeast, kValueMost);
     out.bodyBytes = std::clamp(memory / kCommandsAtOnce, kValueLeast, kValueMost);
     out.idleFor = keptIdle / 2;  // the machine closes at the latest then: a req written late would be lost
+    out.sweepEvery = std::clamp(out.idleFor / 4, kSweepLeast, kSweepMost);
     out.restFor = kRest;
     return out;
 }
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -14,6 +14,7 @@
     std::size_t valueBytes = 0;  // of an instance's answer at most
     std::size_t bodyBytes = 0;   // of a client's command at most
     Span idleFor{};              // a connection to an instance is kept idle
+    Span sweepEvery{};           // idle connections are looked through
     Span restFor{};              // and not used again sooner: what comes behind an answer shows itself
 };
 // How a planned end goes, from its signal on.
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -1,6 +1,7 @@
 #include "service.hpp"
 
 #include <csignal>
+#include <thread>
 
 #include "../base/address.hpp"
 #include "../base/snapshot.hpp"
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr auto kReportEvery = std::chrono::seconds(5);
+constexpr auto kListenWithin = std::chrono::seconds(8);
+constexpr auto kListenAgain = std::chrono::milliseconds(50);
 
 Start read(const std::string &file) {
     const auto whole = readWhole(file);
@@ -21,7 +24,8 @@
   public:
     Service(std::string from, LogForm form, double sample)
         : file(std::move(from)), reqSample(sample), log(form, "gateway"),
-          signals(context, SIGTERM, SIGINT, SIGHUP), timer(context), reporter(context) {}
+          signals(context, SIGTERM, SIGINT, SIGHUP), acceptsUntil(context), answersUntil(context),
+          stopsAt(context), reporter(context) {}
 
     int run() {
         std::signal(SIGPIPE, SIG_IGN);
@@ -36,12 +40,7 @@
         ways = std::make_unique<PlatformWays>(context, clock, start, bounds, log);
         GatewayOrders orders = ordersOf(start, bounds);
         orders.reqSample = reqSample;
-        try {
-            gateway = std::make_unique<Gateway>(context, clock, std::move(orders), start.seed, log, *ways);
-        } catch (const std::system_error &fault) {
-            log.warn("listen", {{"address", format(start.listen)}, {"fault", fault.what()}});
-            return 1;
-        }
+        if (!open(orders)) return 1;
         gateway->remember(listTold(start.known));
         if (start.news) gateway->tell(*start.news);
         log.info("ready", {{"name", start.name},
@@ -59,6 +58,21 @@
     }
 
   private:
+    // A process of before may hold the address for a moment more: it is waited for.
+    bool open(const GatewayOrders &orders) {
+        const auto until = std::chrono::steady_clock::now() + kListenWithin;
+        for (bool said = false; !gateway; said = true) try {
+                gateway = std::make_unique<Gateway>(context, clock, orders, start.seed, log, *ways);
+            } catch (const std::system_error &fault) {
+                const bool waits =
+                    fault.code() == asio::error::address_in_use && std::chrono::steady_clock::now() < until;
+                if (!said || !waits)
+                    log.warn("listen", {{"address", format(start.listen)}, {"fault", fault.what()}});
+                if (!waits) return false;
+                std::this_thread::sleep_for(kListenAgain);
+            }
+        return true;
+    }
     nlohmann::json counts() const {
         nlohmann::json out = countsOf(*gateway);
         out["refused"] = gateway->counts().unrouted, out["clients"] = gateway->connections();
@@ -78,8 +92,9 @@
         signals.async_wait([this](asio::error_code fault, int number) {
             if (fault) return;
             if (number == SIGHUP) reload();
-            else if (ending) return context.stop();
-            else end();
+            else if (!ending) end();
+            else if (number == SIGINT) return context.stop();
+            else log.info("draining-already", {{"inHand", gateway->inHand()}});
             onSignal();
         });
     }
@@ -100,13 +115,12 @@
         ending = true;
         const auto plan = platform::ending(start.settings.longestTimeout());
         log.info("draining", {{"inHand", gateway->inHand()}});
-        after(plan.acceptsFor, [this, plan] {
-            gateway->drain([this, plan] { after(plan.lastWords, [this] { context.stop(); }); });
-            if (gateway->inHand() == 0) return;
-            after(plan.answersBy - plan.acceptsFor, [this] { gateway->endInHand(); });
-        });
+        // Three waits of their own: none displaces another.
+        after(acceptsUntil, plan.acceptsFor, [this] { gateway->drain([this] { context.stop(); }); });
+        after(answersUntil, plan.answersBy, [this] { gateway->endInHand(); });
+        after(stopsAt, plan.answersBy + plan.lastWords, [this] { context.stop(); });
     }
-    void after(Span span, std::function<void()> what) {
+    static void after(asio::steady_timer &timer, Span span, std::function<void()> what) {
         timer.expires_after(span);
         timer.async_wait([what = std::move(what)](asio::error_code fault) {
             if (!fault) what();
@@ -119,7 +133,7 @@
     SteadyClock clock;
     asio::io_context context{1};
     asio::signal_set signals;
-    asio::steady_timer timer, reporter;
+    asio::steady_timer acceptsUntil, answersUntil, stopsAt, reporter;
     Start start;
     std::unique_ptr<PlatformWays> ways;
     std::unique_ptr<Gateway> gateway;
--- a/src/platform/upstreams.cpp
+++ b/src/platform/upstreams.cpp
@@ -10,9 +10,17 @@
         : upstreams(of), alive(std::move(here)), server(std::move(to)), connection(std::move(over)) {}
     ~RespCall() override { release({}); }
 
-    void start(const TakenReq &req, const std::string &, Span left, BuildNo, CallOwner *owner) override {
-        connection->call(connection->place.address, upstreams.settings.connectWithin,
-                         instanceCommand(commandOf(req), left),
+    void start(const TakenReq &req, const std::string &, HandOver handOver, BuildNo,
+               CallOwner *owner) override {
+        // What the try was decided for is what it goes to: an id may come back elsewhere, or as another
+        // build.
+        const auto bytes = [this, &req, handOver = std::move(handOver)]() -> std::string {
+            const auto *now = upstreams.directory.find(server);
+            if (!now || !(*now == connection->place)) return {};
+            const auto left = handOver();
+            return left ? instanceCommand(commandOf(req), *left) : std::string{};
+        };
+        connection->call(connection->place.address, upstreams.settings.connectWithin, bytes,
                          [this, owner](CallEnd how, resp::Value reply) {
                              // One that breaks off within its answer is as one that can't be read.
                              if (how != CallEnd::complete)
@@ -51,9 +59,10 @@
     using Use = IdleConnections<Placed>::Use;
     const auto *place = directory.find(server);
     if (!place) return nullptr;
-    const Span rested = clock.now() - bounds.restFor;
+    const Span now = clock.now(), rested = now - bounds.restFor;
     auto one = idle.take(server, [&](Placed &kept) {
-        if (!(kept.place == *place)) return Use::none;  // of a former address, start or build
+        if (!(kept.place == *place)) return Use::none;                 // of a former address, start or build
+        if (now - kept.idleSince >= bounds.idleFor) return Use::none;  // its instance may be closing it
         if (kept.idleSince > rested) return Use::waits;
         return kept.stillQuiet() ? Use::takes : Use::none;
     });
@@ -87,11 +96,15 @@
         give(server, connection);
         done(std::move(load));
     };
-    connection->call(connection->place.address, settings.connectWithin, resp::command({"INFO", "load"}),
-                     [this, finish, connection](CallEnd how, resp::Value reply) {
-                         const bool told = how == CallEnd::complete && reply.kind == resp::Value::Kind::bulk;
-                         finish(told ? readLoad(reply.text, settings.loadFields) : std::vector<double>{});
-                     });
+    connection->call(
+        connection->place.address, settings.connectWithin,
+        [] {
+            return resp::command({"INFO", "load"});
+        },
+        [this, finish, connection](CallEnd how, resp::Value reply) {
+            const bool told = how == CallEnd::complete && reply.kind == resp::Value::Kind::bulk;
+            finish(told ? readLoad(reply.text, settings.loadFields) : std::vector<double>{});
+        });
     timer->async_wait([finish, connection, no = connection->callNumber()](asio::error_code fault) {
         if (fault || connection->callNumber() != no) return;
         connection->drop();
--- a/src/platform/upstreams.hpp
+++ b/src/platform/upstreams.hpp
@@ -21,6 +21,7 @@
     std::shared_ptr<Call> take(const ServerId &server) override;
     void closeIdle(const ServerId &server) override { idle.close(server); }
     void sweep(Span now) override { idle.sweep(now, bounds.idleFor); }
+    Span sweepEvery() const override { return bounds.sweepEvery; }
     void probe(const ServerId &server, Probed done) override;
     std::size_t connections() const { return busy + idle.size(); }
 
--- a/src/resp/client.cpp
+++ b/src/resp/client.cpp
@@ -11,15 +11,26 @@
 ClientConnection::ClientConnection(asio::io_context &context, Limits limits)
     : socket(context), timer(context), parser(Parser::What::reply, limits) {}
 
-void ClientConnection::call(const tcp::endpoint &to, Span within, std::string bytes, Done tell) {
-    done = std::move(tell), outgoing = std::move(bytes), written = 0;
+void ClientConnection::call(const tcp::endpoint &to, Span within, Bytes what, Done tell) {
+    done = std::move(tell), bytes = std::move(what), outgoing.clear(), written = 0;
     const auto no = ++callNo;
-    if (connected) return send();
+    if (connected) return begin();
     connectWithin(socket, timer, to, within, [self = shared_from_this(), no](bool made) {
         if (self->closed || self->connected || self->callNo != no) return;
         if (!made) return self->finish(CallEnd::connectFailed);
         self->connected = true;
-        self->send();
+        // What comes before anything was asked would be taken for the answer.
+        if (!self->isQuiet()) return self->finish(CallEnd::connectFailed);
+        self->begin();
+    });
+}
+
+void ClientConnection::begin() {
+    const Bytes build = std::exchange(bytes, nullptr);
+    outgoing = build();
+    if (!outgoing.empty()) return send();
+    asio::post(socket.get_executor(), [self = shared_from_this(), no = callNo] {
+        if (self->callNo == no) self->finish(CallEnd::connectFailed);
     });
 }
 
@@ -77,11 +88,15 @@
     readable();
 }
 
-bool ClientConnection::stillQuiet() {
+bool ClientConnection::isQuiet() {
     char byte = 0;
     asio::error_code fault;
     socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
-    if (fault == asio::error::would_block) return true;
+    return fault == asio::error::would_block;
+}
+
+bool ClientConnection::stillQuiet() {
+    if (isQuiet()) return true;
     drop();
     return false;
 }
@@ -89,12 +104,13 @@
 void ClientConnection::finish(CallEnd how, Value value) {
     const auto self = shared_from_this();
     const Done tell = std::exchange(done, nullptr);
+    bytes = nullptr;
     if (how != CallEnd::complete || tainted || !handedOver()) shut();
     if (tell) tell(how, std::move(value));
 }
 
 void ClientConnection::drop() {
-    done = nullptr;
+    done = nullptr, bytes = nullptr;
     onIdleClosed = nullptr;
     shut();
 }
--- a/src/resp/client.hpp
+++ b/src/resp/client.hpp
@@ -14,9 +14,11 @@
     using Done = std::function<void(CallEnd, Value)>;
     ClientConnection(asio::io_context &context, Limits limits);
 
-    // Connects within the time if it is not connected, then sends. Calls back once, never from within,
+    // Connects within the time if it is not connected, then sends what `bytes` gives at that moment; where
+    // that is nothing, the call ends as one that could not be connected. Calls back once, never from within,
     // unless dropped before.
-    void call(const asio::ip::tcp::endpoint &to, Span connectWithin, std::string bytes, Done done);
+    using Bytes = std::function<std::string()>;
+    void call(const asio::ip::tcp::endpoint &to, Span connectWithin, Bytes bytes, Done done);
     void drop();  // closes at once; no call back any more
     bool reusable() const { return connected && !closed && !done && !tainted; }
     // Looks whether the peer has closed or spoken while idle: then it is dropped and false.
@@ -30,7 +32,9 @@
     Span idleSince{};
 
   private:
+    void begin();
     void send();
+    bool isQuiet();  // nothing has come that was not read, the peer's end neither
     void awaitRead();
     void readable();
     void finish(CallEnd how, Value value = {});
@@ -39,6 +43,7 @@
     asio::ip::tcp::socket socket;
     asio::steady_timer timer;
     Parser parser;
+    Bytes bytes;
     Done done;
     std::string outgoing;
     std::size_t written = 0;
--- a/src/resp/room.hpp
+++ b/src/resp/room.hpp
@@ -11,6 +11,7 @@
     std::size_t connections = 1024;  // beyond it who says nothing, or idles, makes room; else accepting waits
     Limits message;                  // a message over it: an error and the connection's end
     std::size_t pipelined = 64;      // commands of one connection in hand; the door reads on as they end
+    std::size_t readAheadBytes = 16384;  // while no command is taken up: the peer's close is seen behind them
     std::size_t waitingBytes = 256 * 1024;  // of answers for a slow reader; the door reads on as they go
     Span silentFor = std::chrono::milliseconds(1500);      // from connecting to the first byte
     Span messageWithin = std::chrono::milliseconds(1500);  // from a command's first byte to its last
--- a/src/resp/server.cpp
+++ b/src/resp/server.cpp
@@ -14,6 +14,8 @@
 constexpr auto kSweepEvery = std::chrono::milliseconds(100), kAcceptRetry = std::chrono::milliseconds(20);
 constexpr std::size_t kSwallowed = 256 * 1024;  // of a refused peer's bytes: then its connection is cut
 constexpr int kAcceptsAtOnce = 32;              // a turn's share: floods don't hold up who is connected
+// Who has just connected when a drain begins is about to ask: it is not closed before that, for so long.
+constexpr auto kNewcomer = std::chrono::milliseconds(300);
 
 struct Door::Core : std::enable_shared_from_this<Door::Core> {
     Core(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &most, Handler take)
@@ -25,6 +27,7 @@
     void take();
     void sweep();
     bool makeRoom();
+    void left();  // a connection, or the acceptor
     // Whatever leaves meanwhile.
     void each(auto what) {
         const std::vector<std::shared_ptr<ServerConnection>> all(open.begin(), open.end());
@@ -39,6 +42,7 @@
     asio::steady_timer retry, sweeper;
     std::set<std::shared_ptr<ServerConnection>> open;
     bool draining = false, closed = false;
+    std::function<void()> onEmpty;
     std::array<char, 16 * 1024> buffer;  // shared: an idle connection holds none of its own
 };
 
@@ -51,7 +55,10 @@
     }
 
     void read() {
-        if (closed || reading || faulty || !pending.empty() || !mayRead()) return;
+        // Also where nothing more is taken up yet: a close shows itself behind what has been read.
+        if (closed || reading || peerEnded || pending.size() >= door->limits.readAheadBytes ||
+            swallowed > kSwallowed)
+            return;
         reading = true;
         socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](asio::error_code fault) {
             self->reading = false;
@@ -73,13 +80,18 @@
     }
     Time lastActive() const { return since; }
     // Bytes have come that this process has not read yet: that is not saying nothing.
-    bool hasUnread() {
-        asio::error_code ignored;
-        return unread = !spoke && !lingering && socket.available(ignored) > 0;
+    bool hasUnread() { return unread = slots.empty() && !lingering && peek() == Peek::bytes; }
+    bool peerThere() {
+        if (closed || peek() != Peek::ended) return !closed;
+        asio::post(socket.get_executor(), [self = shared_from_this()] { self->shut(false); });
+        return false;
     }
 
+    // Ends it unless something of it is in hand, half read or unread: that is answered first.
     void drain() {
-        if (slots.empty() && !parser.begun() && pending.empty()) linger();
+        if (closed || lingering || !slots.empty() || parser.begun() || !pending.empty()) return;
+        if (!outgoing.empty() || peek() == Peek::bytes) return;
+        if (spoke || std::chrono::steady_clock::now() - since >= kNewcomer) linger();
     }
 
     void sweep(Time now, bool isPressed) {
@@ -88,8 +100,10 @@
         case Due::error: return refusalDue();
         case Due::cut: return shut(true);
         case Due::close: return shut(false);
-        case Due::linger: return linger();
-        case Due::incomplete: return fail("the command is not complete in time");
+        // What has come meanwhile crosses the time that is up, and is served.
+        case Due::linger: return peek() == Peek::bytes ? void() : linger();
+        case Due::incomplete:
+            return peek() == Peek::bytes ? void() : fail("the command is not complete in time");
         }
     }
 
@@ -101,6 +115,7 @@
         if (reset) socket.set_option(asio::socket_base::linger(true, 0), ignored);
         socket.close(ignored);
         door->open.erase(self);
+        door->left();
         for (const auto &slot : std::exchange(slots, {})) {
             slot->connection.reset();
             if (const auto tell = std::exchange(slot->onGone, nullptr); tell && !slot->answered) tell();
@@ -123,7 +138,14 @@
     void refusal() { refuseAt = std::chrono::steady_clock::now() + door->limits.refusalAfter; }
 
   private:
-    bool mayRead() const {
+    enum class Peek { nothing, bytes, ended };
+    Peek peek() {
+        char byte = 0;
+        asio::error_code fault;
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
+        return !fault ? Peek::bytes : fault == asio::error::would_block ? Peek::nothing : Peek::ended;
+    }
+    bool mayTakeUp() const {
         return refuseAt == Time{} && slots.size() < door->limits.pipelined &&
                outgoing.size() - gone < door->limits.waitingBytes;
     }
@@ -134,14 +156,19 @@
         unread = false;
         if (fault == asio::error::would_block) return read();
         if (fault) {
-            // A peer that ends its sending is gone, but for the errors that it is owed.
-            while (!closed && !slots.empty() && slots.front()->refused && !slots.front()->answered)
-                refusalDue();
+            // A peer that ends its sending is gone, but for the error that it is owed, when that is due.
+            const bool owed = !slots.empty() && slots.front()->refused && !slots.front()->answered;
+            if (fault == asio::error::eof && owed) return void(peerEnded = true);
             return shut(false);
         }
-        if (lingering) {
+        if (lingering || faulty) {
             swallowed += n;
-            return swallowed > kSwallowed ? shut(false) : read();
+            return swallowed > kSwallowed && lingering ? shut(false) : read();
+        }
+        if (!pending.empty() || !mayTakeUp()) {
+            pending.append(door->buffer.data(), n);
+            goOn();
+            return read();
         }
         if (!spoke || slots.empty()) since = std::chrono::steady_clock::now();
         spoke = true;
@@ -157,7 +184,7 @@
     }
     void feed(std::string_view bytes) {
         while (!bytes.empty() && !closed && !faulty) {
-            if (!mayRead()) return void(pending.append(bytes));
+            if (!mayTakeUp()) return void(pending.append(bytes));
             if (!parser.begun()) began = std::chrono::steady_clock::now();
             bytes.remove_prefix(parser.feed(bytes));
             if (parser.faulty()) return fail(parser.fault());
@@ -175,11 +202,11 @@
     // Goes on with what was read ahead on a turn of its own, so that a long pipeline neither nests nor holds
     // up others.
     void goOn() {
-        if (goingOn || pending.empty() || closed || faulty || !mayRead()) return;
+        if (goingOn || pending.empty() || closed || faulty || !mayTakeUp()) return;
         goingOn = true;
         asio::post(socket.get_executor(), [self = shared_from_this()] {
             self->goingOn = false;
-            if (self->closed || self->faulty || !self->mayRead()) return;
+            if (self->closed || self->faulty || !self->mayTakeUp()) return;
             const std::string ahead = std::exchange(self->pending, {});
             self->feed(ahead);
             self->read();
@@ -218,9 +245,10 @@
         if (gone == outgoing.size()) {
             outgoing.clear(), gone = 0;
             if (outgoing.capacity() > 4096) outgoing.shrink_to_fit();
-            if (slots.empty() && (faulty || (door->draining && !parser.begun() && pending.empty())))
-                return linger();
+            if (slots.empty() && peerEnded) return shut(false);
+            if (slots.empty() && faulty) return linger();
             read(), goOn();
+            if (door->draining) drain();
             return;
         }
         writing = true;
@@ -236,7 +264,7 @@
     // Lets the peer read what was said before the connection goes: unread bytes would turn it into a reset.
     void linger() {
         if (closed || lingering) return;
-        lingering = true, faulty = false;
+        lingering = true, faulty = false, swallowed = 0;
         since = std::chrono::steady_clock::now(), refuseAt = {};
         asio::error_code ignored;
         socket.shutdown(tcp::socket::shutdown_send, ignored);
@@ -252,6 +280,7 @@
     Time since, began{}, progress{}, refuseAt{};
     bool reading = false, writing = false, closed = false, faulty = false, lingering = false, spoke = false,
          unread = false, goingOn = false;
+    bool peerEnded = false;  // its sending, while an error was owed
 };
 
 // ---- Exchange ----
@@ -261,6 +290,10 @@
     answered = true, reply = std::move(bytes), onGone = nullptr;
     if (const auto to = connection.lock()) to->answered();
 }
+bool Exchange::peerThere() const {
+    const auto to = connection.lock();
+    return to && to->peerThere();
+}
 void Exchange::refuse(std::string_view words) {
     if (answered || refused) return;
     refused = true, reply = error(words), onGone = nullptr;
@@ -287,11 +320,16 @@
         asio::error_code fault;
         tcp::socket socket(context);
         if (room) acceptor.accept(socket, fault);
-        if (room && fault == asio::error::would_block) return accept();
+        if (room && fault == asio::error::would_block) {
+            if (!draining) return accept();
+            // To its end: whom the kernel has accepted may have asked already.
+            acceptor.close(fault);
+            return left();
+        }
         if (!room || fault) {  // out of places or of descriptors
             retry.expires_after(kAcceptRetry);
             retry.async_wait([self = shared_from_this()](asio::error_code stopped) {
-                if (!stopped && !self->closed && !self->draining) self->take();
+                if (!stopped && !self->closed) self->take();
             });
             return;
         }
@@ -299,7 +337,15 @@
         open.insert(made);
         made->read();
     }
-    accept();
+    if (!draining) return accept();
+    asio::post(context, [self = shared_from_this()] {
+        if (!self->closed && self->acceptor.is_open()) self->take();
+    });
+}
+
+void Door::Core::left() {
+    if (draining && !acceptor.is_open() && open.empty() && onEmpty)
+        asio::post(context, std::exchange(onEmpty, nullptr));
 }
 
 bool Door::Core::makeRoom() {
@@ -322,7 +368,10 @@
 void Door::Core::sweep() {
     if (closed) return;
     const Time now = std::chrono::steady_clock::now();
-    each([now, isPressed = pressed(open.size(), limits)](auto &one) { one.sweep(now, isPressed); });
+    each([this, now, isPressed = pressed(open.size(), limits)](auto &one) {
+        one.sweep(now, isPressed);
+        if (draining) one.drain();
+    });
     sweeper.expires_after(kSweepEvery);
     sweeper.async_wait([weak = weak_from_this()](asio::error_code fault) {
         if (const auto self = weak.lock(); self && !fault) self->sweep();
@@ -337,6 +386,7 @@
 
 Door::~Door() {
     core->closed = true;
+    core->onEmpty = nullptr;
     core->handler = [](const std::shared_ptr<Exchange> &) {};
     asio::error_code ignored;
     core->acceptor.close(ignored);
@@ -347,12 +397,14 @@
 tcp::endpoint Door::address() const { return core->local; }
 std::size_t Door::connections() const { return core->open.size(); }
 
-void Door::drain() {
-    core->draining = true;
+void Door::drain(std::function<void()> empty) {
+    core->draining = true, core->onEmpty = std::move(empty);
     asio::error_code ignored;
-    core->acceptor.close(ignored);
+    core->acceptor.cancel(ignored);
     core->retry.cancel();
+    core->take();
     core->each([](auto &one) { one.drain(); });
+    core->left();
 }
 
 }  // namespace deckcart::resp
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -19,6 +19,9 @@
     std::function<void()> onGone;  // the peer has left before the answer
 
     bool open() const { return !answered && !connection.expired(); }
+    // Looks at the socket: false once the peer has ended its sending, though nobody has read that yet; then
+    // onGone follows on a turn of its own.
+    bool peerThere() const;
     void answer(std::string bytes);
     // It can't be served: an error, not at once, and nothing is read from this peer until then.
     void refuse(std::string_view words);
@@ -41,9 +44,9 @@
     Door &operator=(const Door &) = delete;
 
     asio::ip::tcp::endpoint address() const;
-    // Accepts no more and ends idle connections; commands in hand are answered, each with its connection
-    // closed.
-    void drain();
+    // Takes what has connected already, and no more. Each connection ends once nothing of it is in hand, half
+    // read or unread; `empty` is called, on a turn of its own, when all have ended.
+    void drain(std::function<void()> empty);
     std::size_t connections() const;
 
     struct Core;
--- a/tests/path/platform_bench.hpp
+++ b/tests/path/platform_bench.hpp
@@ -21,6 +21,11 @@
         accept();
     }
     std::string address() const { return format(acceptor.local_endpoint()); }
+    // On the connection of the latest command, outside the script's turn.
+    void say(const std::string &bytes) {
+        asio::error_code ignored;
+        asio::write(latest->socket, asio::buffer(bytes), ignored);
+    }
     std::vector<std::vector<std::string>> commands;
     std::size_t opened = 0;
 
@@ -51,6 +56,7 @@
                     std::vector<std::string> args;
                     for (auto &item : peer->parser.take().items) args.push_back(*item);
                     commands.push_back(std::move(args));
+                    latest = peer;
                     const Reply reply = script(commands.size() - 1, commands.back());
                     asio::error_code ignored;
                     asio::write(peer->socket, asio::buffer(reply.bytes), ignored);
@@ -65,6 +71,7 @@
     }
     Script script;
     tcp::acceptor acceptor;
+    std::shared_ptr<Peer> latest;
 };
 
 // Discovery and the control service in one: streams to whoever asks, and takes votes.
@@ -142,17 +149,15 @@
         standin.list("s" + std::to_string(instances.size()), made.address(), build);
         return made;
     }
-    // `rest`: of a connection before it is used again, instead of the bounds' own: a test of many reqs takes
-    // no longer than that.
-    void begin(std::size_t sockets = 256, std::optional<Span> rest = std::nullopt) {
-        const json doc{{"name", "n"},
-                       {"listen", "127.0.0.1:0"},
-                       {"discovery", standin.address()},
-                       {"seed", "1"},
-                       {"limits", {{"cores", 1}, {"memory_mb", 32}, {"sockets", sockets}}},
-                       {"platform", {{"address", standin.address()}}},
-                       {"known", standin.all()},
-                       {"settings", json::parse(R"({
+    json document(std::size_t sockets) {
+        json out{{"name", "n"},
+                 {"listen", "127.0.0.1:0"},
+                 {"discovery", standin.address()},
+                 {"seed", "1"},
+                 {"limits", {{"cores", 1}, {"memory_mb", 32}, {"sockets", sockets}}},
+                 {"platform", {{"address", standin.address()}}},
+                 {"known", standin.all()},
+                 {"settings", json::parse(R"({
           "FailureDomains": ["a"], "GroupSize": 3,
           "FamilyInfo": {"GateMode": "by_count", "ReplaceMode": "replace", "ExposureCaps": [0.5, 1.0], "Shares": [0.5, 1.0],
                          "SpanS": 4, "SpareTries": 3, "BallotTtlS": 6, "ApiTimeoutS": 0.8, "VotesToRevert": 1},
@@ -162,7 +167,13 @@
           "Limits": {"KeepaliveS": 15, "ConnectTimeoutS": 0.25, "MostTries": 4, "MostHeld": 1000, "Cancel": true,
                      "RetryAfter": true, "MaxRetryAfterS": 0.5},
           "Safety": {"TipMultiple": 2.5, "OverloadForS": 3}, "Discovery": "automatic"})")}};
-        configuration = platform::readStart(doc.dump());
+        out["settings"]["Limits"].update(limits);
+        return out;
+    }
+    // `rest`: of a connection before it is used again, instead of the bounds' own: a test of many reqs takes
+    // no longer than that.
+    void begin(std::size_t sockets = 256, std::optional<Span> rest = std::nullopt) {
+        configuration = platform::readStart(document(sockets).dump());
         auto bounds = platform::divide(sockets, 32, 1000, configuration.settings.keptIdle);
         if (rest) bounds.restFor = *rest;
         ways = std::make_unique<platform::PlatformWays>(io, clock, configuration, bounds, Log());
@@ -193,6 +204,7 @@
         for (const auto &one : instances) n += one.commands.size();
         return n;
     }
+    json limits = json::object();  // of the settings, over those above
     Standin standin;
     platform::Start configuration;
     std::unique_ptr<platform::PlatformWays> ways;
