A start serves from the first list, or without it after 0.3 s; three more crossings

Need: what the agent has counts as told from the first moment of a new process; until now reqs that came before the first list went by the old one (Service::run opened the door before it read anything). resp::Door listens at once and accepts from open() on; Service opens it with the first list, at the latest 0.3 s later. Tests: AReqThatComesBeforeTheFirstListWaitsForIt; an instance's close unread as its connection is taken, and places held by idle connections, were sound and are stated. Names of classes and tenants change no action (400 commands under three sets).

--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -15,6 +15,7 @@
     RespFront(asio::io_context &context, const Clock &clock, const asio::ip::tcp::endpoint &at,
               const resp::DoorLimits &limits, const wire::BirthSettings &settings, FrontOwner owner);
 
+    void open() { door.open(); }  // who has connected before waits until then
     asio::ip::tcp::endpoint address() const override { return door.address(); }
     void limit() override {}
     void drain(std::function<void()> ended) override { door.drain(std::move(ended)); }
--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -43,6 +43,10 @@
     return {kAcceptsFor, std::min(longestTimeout, kLongestCounted) + kKillMargin, kLastWords};
 }
 
+// The agent answers at once unless discovery is down; then the list as last known is all there is. A listing
+// that changed since binds 300 ms after it was told.
+Span firstListWithin() { return milliseconds(300); }
+
 // Signs of life come every 2 s and every second: one of them late by half, or two. The list's silence has a
 // clock: what it misses counts as told 6 s after it began. Its agent answers at once, but may be mute once or
 // twice: opened anew after 3 s, 3.8 s and 5.4 s of silence, and told by 6 s. The third waits out a sign of
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -30,6 +30,7 @@
                            // silentFor
     Span first{}, most{};  // pauses before it is opened anew
 };
+Span firstListWithin();  // a start waits for it so long before it serves from the list as last known
 Ending ending(Span longestTimeout);
 StreamTimes listTimes();
 StreamTimes bulletinTimes();
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -24,8 +24,8 @@
   public:
     Service(std::string from, LogForm form, double sample)
         : file(std::move(from)), reqSample(sample), log(form, "gateway"),
-          signals(context, SIGTERM, SIGINT, SIGHUP), acceptsUntil(context), answersUntil(context),
-          stopsAt(context), reporter(context) {}
+          signals(context, SIGTERM, SIGINT, SIGHUP), listWithin(context), acceptsUntil(context),
+          answersUntil(context), stopsAt(context), reporter(context) {}
 
     int run() {
         std::signal(SIGPIPE, SIG_IGN);
@@ -35,21 +35,16 @@
             log.warn("configuration", {{"file", file}, {"fault", fault.what()}});
             return 2;
         }
-        const auto bounds =
-            divide(start.sockets, start.memoryMb, start.settings.reqsInHand, start.settings.keptIdle);
+        bounds = divide(start.sockets, start.memoryMb, start.settings.reqsInHand, start.settings.keptIdle);
         ways = std::make_unique<PlatformWays>(context, clock, start, bounds, log);
         GatewayOrders orders = ordersOf(start, bounds);
         orders.reqSample = reqSample;
         if (!open(orders)) return 1;
         gateway->remember(listTold(start.known));
         if (start.news) gateway->tell(*start.news);
-        log.info("ready", {{"name", start.name},
-                           {"listen", format(gateway->address())},
-                           {"known", start.known.members.size()},
-                           {"clients", bounds.clients},
-                           {"upstreams", bounds.upstreams},
-                           {"reqs", bounds.reqsInHand},
-                           {"cores", start.cores}});
+        log.info("listening", {{"listen", format(gateway->address())}});
+        after(listWithin, platform::firstListWithin(), [this] { ready(); });
+        gateway->onListed = [this] { ready(); };
         onSignal();
         report();
         context.run();
@@ -73,6 +68,19 @@
             }
         return true;
     }
+    // Once: with the first list, or without it.
+    void ready() {
+        if (std::exchange(serving, true)) return;
+        listWithin.cancel();
+        ways->fronts->open();
+        log.info("ready", {{"name", start.name},
+                           {"listen", format(gateway->address())},
+                           {"known", start.known.members.size()},
+                           {"clients", bounds.clients},
+                           {"upstreams", bounds.upstreams},
+                           {"reqs", bounds.reqsInHand},
+                           {"cores", start.cores}});
+    }
     nlohmann::json counts() const {
         nlohmann::json out = countsOf(*gateway);
         out["refused"] = gateway->counts().unrouted, out["clients"] = gateway->connections();
@@ -133,11 +141,12 @@
     SteadyClock clock;
     asio::io_context context{1};
     asio::signal_set signals;
-    asio::steady_timer acceptsUntil, answersUntil, stopsAt, reporter;
+    asio::steady_timer listWithin, acceptsUntil, answersUntil, stopsAt, reporter;
     Start start;
+    Bounds bounds;
     std::unique_ptr<PlatformWays> ways;
     std::unique_ptr<Gateway> gateway;
-    bool ending = false;
+    bool serving = false, ending = false;
 };
 
 }  // namespace
--- a/src/platform/ways.cpp
+++ b/src/platform/ways.cpp
@@ -3,8 +3,10 @@
 namespace deckcart::platform {
 
 std::unique_ptr<Front> PlatformWays::front(const GatewayOrders &, FrontOwner owner) const {
-    return std::make_unique<RespFront>(context, clock, start.listen, doorLimits(bounds), start.settings,
-                                       std::move(owner));
+    auto out = std::make_unique<RespFront>(context, clock, start.listen, doorLimits(bounds), start.settings,
+                                           std::move(owner));
+    fronts = out.get();
+    return out;
 }
 std::unique_ptr<Upstreams> PlatformWays::upstreams(const GatewayOrders &) const {
     auto out = std::make_unique<RespUpstreams>(context, clock, directory, bounds, start.settings);
--- a/src/platform/ways.hpp
+++ b/src/platform/ways.hpp
@@ -22,6 +22,7 @@
     // Of the gateway that was made with these.
     mutable PlatformDesk *desks = nullptr;
     mutable const RespUpstreams *calls = nullptr;
+    mutable RespFront *fronts = nullptr;
 
   private:
     asio::io_context &context;
--- a/src/resp/server.cpp
+++ b/src/resp/server.cpp
@@ -41,7 +41,7 @@
     Handler handler;
     asio::steady_timer retry, sweeper;
     std::set<std::shared_ptr<ServerConnection>> open;
-    bool draining = false, closed = false;
+    bool accepting = false, draining = false, closed = false;
     std::function<void()> onEmpty;
     std::array<char, 16 * 1024> buffer;  // shared: an idle connection holds none of its own
 };
@@ -308,7 +308,9 @@
 
 void Door::Core::accept() {
     if (draining || closed) return;
+    if (std::exchange(accepting, true)) return;
     acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](asio::error_code fault) {
+        self->accepting = false;
         if (fault || self->closed || self->draining) return;
         self->take();
     });
@@ -380,10 +382,11 @@
 
 Door::Door(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &limits, Handler handler)
     : core(std::make_shared<Core>(io, at, limits, std::move(handler))) {
-    core->accept();
     core->sweep();
 }
 
+void Door::open() { core->accept(); }
+
 Door::~Door() {
     core->closed = true;
     core->onEmpty = nullptr;
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -37,8 +37,10 @@
 class Door {
   public:
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+    // Listens at once; accepts from open() on.
     Door(asio::io_context &context, const asio::ip::tcp::endpoint &address, const DoorLimits &limits,
          Handler handler);
+    void open();
     ~Door();
     Door(const Door &) = delete;
     Door &operator=(const Door &) = delete;
--- a/tests/path/crossings_test.cpp
+++ b/tests/path/crossings_test.cpp
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 #include "platform_bench.hpp"
 
@@ -214,6 +215,7 @@
         taken.push_back(e);
         e->answer("+PONG\r\n");
     });
+    door.open();
     RawClient c(io, door.address());
     c.send(resp::command({"PING"}));
     ASSERT_TRUE(until([&] { return c.in == "+PONG\r\n"; }));
@@ -351,6 +353,27 @@
     EXPECT_EQ(one.opened, before + 1);
 }
 
+TEST_F(Crossing, AnInstancesCloseThatIsUnreadWhenItsConnectionIsTakenCostsNoReq) {
+    auto &one = instance(echo);
+    begin(256, 0s);
+    EXPECT_EQ(ask("a"), resp::bulk("of a"));
+    const auto before = one.opened;
+    auto &c = client();
+    c.send(req("b", "once"));  // ready first, so read first
+    one.closeLatest();
+    EXPECT_TRUE(until([&] { return !c.in.empty(); }));
+    EXPECT_EQ(c.in, resp::bulk("of b"));
+    EXPECT_EQ(one.opened, before + 1);
+}
+
+TEST_F(Crossing, PlacesHeldByIdleConnectionsToOthersAreFreed) {
+    for (int k = 0; k < 30; ++k) instance(echo);
+    begin(64, 0s);
+    for (int k = 0; k < 120; ++k)
+        ASSERT_EQ(ask("r" + std::to_string(k)), resp::bulk("of r" + std::to_string(k)));
+    EXPECT_LE(ways->calls->connections(), 20u);
+}
+
 // ---- the real program and its signals ----
 
 class Program : public Crossing {
@@ -385,7 +408,7 @@
         return until([&] { return logged().find("\"event\":\"" + event + "\"") != std::string::npos; });
     }
     tcp::endpoint listens() {
-        EXPECT_TRUE(says("ready")) << logged();
+        EXPECT_TRUE(says("listening")) << logged();
         const std::string log = logged();
         const auto at = log.find("\"listen\":\"") + 10;
         return *parseAddress(log.substr(at, log.find('"', at) - at));
@@ -448,6 +471,20 @@
     EXPECT_TRUE(until([&] { return c.in == "+PONG\r\n"; }));
 }
 
+TEST_F(Program, AReqThatComesBeforeTheFirstListWaitsForIt) {
+    auto &old = instance(echo);
+    auto &now = instances.emplace_back(io, echo);
+    launch();  // knows the old address only
+    standin.list("s1", now.address());
+    std::string log;
+    while ((log = logged()).find("\"listening\"") == std::string::npos && !ended()) std::this_thread::yield();
+    auto &c = clientOf(listens());
+    c.send(req("a", "once"));
+    EXPECT_TRUE(until([&] { return !c.in.empty(); }));
+    EXPECT_EQ(c.in, resp::bulk("of a"));
+    EXPECT_EQ(old.commands.size(), 0u);
+}
+
 TEST_F(Program, ASignalBeforeTheFirstListEndsItInOrder) {
     standin.oddWatches = {[](http::Exchange &) {}};
     launch();
--- a/tests/path/platform_bench.hpp
+++ b/tests/path/platform_bench.hpp
@@ -26,6 +26,10 @@
         asio::error_code ignored;
         asio::write(latest->socket, asio::buffer(bytes), ignored);
     }
+    void closeLatest() {
+        asio::error_code ignored;
+        latest->socket.close(ignored);
+    }
     std::vector<std::vector<std::string>> commands;
     std::size_t opened = 0;
 
@@ -180,6 +184,7 @@
         gateway =
             std::make_unique<Gateway>(io, clock, platform::ordersOf(configuration, bounds), 1, Log(), *ways);
         gateway->remember(platform::listTold(configuration.known));
+        ways->fronts->open();
         ASSERT_TRUE(until([&] { return gateway->stage().has_value() && !standin.watchers.empty(); }));
     }
     RawClient &client() { return clients.emplace_back(io, gateway->address()); }
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -237,6 +237,55 @@
     EXPECT_LT(names.size(), 300u) << "it does not grow with ids";
 }
 
+// What a gateway does on one day under some names of classes and tenants.
+std::string actionsUnder(const std::string &ask, const std::string &order, const std::string &tenant) {
+    json settings = json::parse(kSettings);
+    settings["Grades"][0]["Name"] = ask, settings["Grades"][1]["Name"] = order;
+    settings["Realms"][0]["Name"] = tenant;
+    const auto read = wire::readSettings(settings, 7);
+    Policy policy;
+    std::string out;
+    const auto happen = [&](Span now, Event event) {
+        for (const auto &action : policy.decide(1, now, {event})) {
+            out += std::to_string(action.index());
+            if (const auto *send = std::get_if<SendTry>(&action))
+                out += "send " + std::to_string(send->req) + " " + send->server + "\n";
+        }
+    };
+    happen(10s, Started{read.start});
+    ListTold list{true, {}};
+    for (int k = 0; k < 6; ++k) {
+        ServerEntry e;
+        e.id = "s" + std::to_string(k), e.build = k < 4 ? 1 : 2, e.weight = 1, e.readiness = Readiness::live;
+        list.entries.push_back(e);
+    }
+    happen(10s, list);
+    happen(10s, StageNews{false, Outcome::ok, 2, 0, Phase::onTrial, 0.3, Span{0}});
+    for (int k = 0; k < 400; ++k) {
+        const Span now = 10s + k * 10ms;
+        const std::string id = "r" + std::to_string(k);
+        auto command = readCommand(
+            k % 3 ? std::vector<std::string>{"Q.ASK", "k" + id, id, "c=" + ask + ",t=" + tenant + ",d=700"}
+                  : std::vector<std::string>{"Q.DO", "k" + id, id,
+                                             "c=" + order + ",t=" + tenant + ",d=2000,k=1f", "body"},
+            read);
+        EXPECT_EQ(command.refusal, "");
+        happen(now, ReqArrived{ReqId(k), command.facts.key, int(command.facts.route), command.facts.account,
+                               now + command.facts.wait});
+        happen(now + 4ms, TryEnded{ReqId(k), 0, false, k % 20 ? Outcome::ok : Outcome::error});
+        happen(now + 6ms, TryEnded{ReqId(k), 1, false, Outcome::ok});
+        happen(now + 9ms, TimerFired{});
+    }
+    return out;
+}
+
+TEST(PlatformSettings, NamesOfClassesAndTenantsChangeNoAction) {
+    const auto usual = actionsUnder("lookup", "order", "acme");
+    EXPECT_GT(std::ranges::count(usual, '\n'), 400) << "reqs were sent, some again";
+    EXPECT_EQ(usual, actionsUnder("read-a-meter_and-its-history-of-the-last-twelve-months", "W", "b-2"));
+    EXPECT_EQ(usual, actionsUnder("x", "lookup", "the-utility_of-the-valley"));
+}
+
 TEST(PlatformJsonValues, WholeValuesAreFoundWhateverTheWhiteSpaceAndTheCut) {
     const auto value = nlohmann::json::parse(
         R"({"a":[1,-2.5e+3,true,false,null,"q\"}]{\\",{}],"b":{"c":[[],{"d":"x"}]},"e":""})");
