A connection rests 10 ms before it is used again: second answers come up to 3.8 ms late

Lines: kRest in src/platform/limits.cpp. Test: ASecondAnswerThatComesLateMeetsNoReq; with 5 ms it gets another req's answer.

--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -19,8 +19,11 @@
                kKillMargin = std::chrono::milliseconds(550), kLastWords = std::chrono::milliseconds(100);
 constexpr std::size_t kBesideValue = 4096, kMostLine = 512;  // of a reply: its report, and an error's words
 constexpr Span kSweepLeast = std::chrono::milliseconds(50), kSweepMost = std::chrono::seconds(1);
-constexpr std::size_t kReplyItems = 4;                // three are stated
-constexpr Span kRest = std::chrono::milliseconds(5);  // on one machine what comes behind comes at once
+constexpr std::size_t kReplyItems = 4;  // three are stated
+// What comes behind an answer came up to 3.8 ms later on the days that play it (31 of one day); a network's
+// delays differ. Taken for an answer it would be another req's. Harm: some more connections where a gateway
+// is busy.
+constexpr Span kRest = std::chrono::milliseconds(10);
 
 Bounds divide(std::size_t sockets, std::size_t memoryMb, std::size_t mostReqs, Span keptIdle) {
     Bounds out;
--- a/tests/path/crossings_test.cpp
+++ b/tests/path/crossings_test.cpp
@@ -353,6 +353,21 @@
     EXPECT_EQ(one.opened, before + 1);
 }
 
+TEST_F(Crossing, ASecondAnswerThatComesLateMeetsNoReq) {
+    instance([&](std::size_t n, const std::vector<std::string> &args) {
+        if (n == 1) instances[0].sayOnFirst(served("of a"));  // before this one's own
+        return echo(n, args);
+    });
+    begin();
+    clock.held = clock.now();
+    EXPECT_EQ(ask("a"), resp::bulk("of a"));
+    *clock.held += 9ms;
+    EXPECT_EQ(ask("b", "once"), resp::bulk("of b"));
+    *clock.held += 10ms;
+    EXPECT_EQ(ask("c", "once"), resp::bulk("of c"));
+    EXPECT_EQ(instances[0].opened, 2u) << "one that has rested is used again";
+}
+
 TEST_F(Crossing, AnInstancesCloseThatIsUnreadWhenItsConnectionIsTakenCostsNoReq) {
     auto &one = instance(echo);
     begin(256, 0s);
--- a/tests/path/platform_bench.hpp
+++ b/tests/path/platform_bench.hpp
@@ -26,6 +26,11 @@
         asio::error_code ignored;
         asio::write(latest->socket, asio::buffer(bytes), ignored);
     }
+    // The same on the connection of the first command.
+    void sayOnFirst(const std::string &bytes) {
+        asio::error_code ignored;
+        asio::write(first->socket, asio::buffer(bytes), ignored);
+    }
     void closeLatest() {
         asio::error_code ignored;
         latest->socket.close(ignored);
@@ -61,6 +66,7 @@
                     for (auto &item : peer->parser.take().items) args.push_back(*item);
                     commands.push_back(std::move(args));
                     latest = peer;
+                    if (!first) first = peer;
                     const Reply reply = script(commands.size() - 1, commands.back());
                     asio::error_code ignored;
                     asio::write(peer->socket, asio::buffer(reply.bytes), ignored);
@@ -75,7 +81,7 @@
     }
     Script script;
     tcp::acceptor acceptor;
-    std::shared_ptr<Peer> latest;
+    std::shared_ptr<Peer> first, latest;
 };
 
 // Discovery and the control service in one: streams to whoever asks, and takes votes.
