A key goes to no earlier build while a newer one is being asked for it

Ruled out: keys of tries that were called off, timed out or unread (they bind, settle()), keys freed by a build sent back (569's, sent to 568 after 22.25 s, are allowed). Lines: passes() in src/policy.cpp looked at keys that had been answered only. Tries under way now bar earlier builds as well, unless their build was sent back.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -241,6 +241,8 @@
     double retryBudget = kRetryBurst;
     std::map<std::string, BuildNo> stays;  // keys that a build has answered
     BuildNo allStay = 0;                   // all keys stay from this one on
+    std::map<std::pair<std::string, BuildNo>, int>
+        asking;  // tries under way by key and build, where keys stay
 
     bool told = false;         // stage news has come since the start
     StageNews news, lastTold;  // the furthest stage of the newest build; what was told last, be it older
@@ -410,6 +412,13 @@
         }
         const auto stay = stays.find(rq.in.key);
         if (build < allStay || (stay != stays.end() && build < stay->second)) return false;
+        // Nor while a newer build is asked: its answer may be written and not read. Guards against answers
+        // that are late, or lost on a connection that fell silent. Harm: such reqs wait for the newer build's
+        // cap.
+        for (auto at = asking.upper_bound({rq.in.key, build}); at != asking.end(); ++at) {
+            if (at->first.first != rq.in.key) break;
+            if (at->first.second != sentBack) return false;
+        }
         return withinColdBudget(s);  // cold servers
     }
 
@@ -588,6 +597,7 @@
         rq.tries.push_back({&s, s.entry.build, s.entry.zone, s.entry.cell, now, s.age(now) < coldEvidence()});
         s.out.insert({now, rq.in.req});
         if (cold(s)) s.coldSends.push_back(now);
+        if (v.keysStay && !rq.in.key.empty()) ++asking[{rq.in.key, s.entry.build}];
         if (bound(s.entry.build)) triesAt(s.entry.build, rq.in.route).push_back(now);
         out.push_back(SendTry{rq.in.req, s.entry.id});
     }
@@ -712,6 +722,8 @@
         if (!t.out) return;  // told before: it must not count twice, nor prove the contrary
         t.out = false, t.how = end.how;
         t.server->out.erase({t.sent, end.req});
+        const auto asked = asking.find({rq.in.key, t.build});
+        if (asked != asking.end() && --asked->second == 0) asking.erase(asked);
         if (end.how == Outcome::ok) ends.push_back(now);
         settle(rq, t, end);
         if (end.reqOver || end.how == Outcome::ok) {
