What the crossings' mends wrote again stands once; choices leave their I/O code

Read again as a whole. Shared now: the look at what lies unread in a socket (peek, in src/base/socket), a stream's lines (split by http::Fetch alone; EventLines::feed goes), the growing time for a first word (backedOff). Derived or taken out: the door's 'accepting'; a client's close looks through its own req's tries, not all reqs in hand. Out of I/O code into pure ones: whose connection ends in a drain (resp/room), times of a start (platform/limits).

--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -20,6 +20,13 @@
     socket.non_blocking(true, ignored);
 }
 
+Unread peek(tcp::socket &socket) {
+    char byte = 0;
+    asio::error_code fault;
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
+    return !fault ? Unread::bytes : fault == asio::error::would_block ? Unread::nothing : Unread::end;
+}
+
 void connectWithin(tcp::socket &socket, asio::steady_timer &timer, const tcp::endpoint &to, Span within,
                    std::function<void(bool)> done) {
     timer.expires_after(within);
--- a/src/base/socket.hpp
+++ b/src/base/socket.hpp
@@ -22,6 +22,10 @@
 // A connected socket as all here use it: nothing waits for more to send, no call blocks.
 void settle(asio::ip::tcp::socket &socket);
 
+// What lies unread in a connected socket; it stays there.
+enum class Unread { nothing, bytes, end };
+Unread peek(asio::ip::tcp::socket &socket);
+
 // Connects within the time and settles the socket. `done` may come twice, the later ones false: its owner
 // knows whether it still waits. It keeps alive what owns the socket and the timer.
 void connectWithin(asio::ip::tcp::socket &socket, asio::steady_timer &timer,
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -334,9 +334,12 @@
         return tryEnded(id, rq.streaming, Outcome::cancelled);
     // What no instance can have got whole does not go out for it any more, whatever the settings say of those
     // that have been handed over.
-    endUnsent([id](const Req &other, const Try &) { return other.id != id; }, Outcome::moot);
-    if (const auto left = reqs.find(id); left != reqs.end() && !left->second->outstanding())
-        forget(*left->second);
+    for (std::size_t k = 0; k < rq.tries.size(); ++k)
+        if (!rq.tries[k].over && !rq.tries[k].call->handedOver()) {
+            tryEnded(id, int(k), Outcome::moot);
+            if (!reqs.contains(id)) return;
+        }
+    if (!rq.outstanding()) forget(rq);
 }
 
 void Gateway::watchDeadline(Req &rq) { wakeIn(rq, rq.told - lastSeen); }
@@ -429,25 +432,25 @@
     for (const auto &[record, n] : records) queue.emplace_back(record, event);
     decide();
     if (std::holds_alternative<ListTold>(event))
-        endUnsent([this](const Req &, const Try &t) {
+        endUnsent([this](const Try &t) {
             const auto entry = list.find(t.server);
             return entry != list.end() && entry->second.readiness == Readiness::live &&
                    entry->second.build == t.build;
         });
-    if (lower) endUnsent([lower](const Req &, const Try &t) { return t.build != *lower; });
+    if (lower) endUnsent([lower](const Try &t) { return t.build != *lower; });
 }
 
 // A try that is still on its way when its instance is told to drain, to run another build, or its build to
 // have a lower cap, would break what has just been told: it ends as one that could not be connected, and
 // where the req goes then is the module's.
-void Gateway::endUnsent(const std::function<bool(const Req &, const Try &)> &stays, Outcome how) {
+void Gateway::endUnsent(const std::function<bool(const Try &)> &stays) {
     std::vector<std::pair<ReqId, int>> unsent;
     for (const auto &[id, rq] : reqs)
         for (std::size_t k = 0; k < rq->tries.size(); ++k) {
             const Try &t = rq->tries[k];
-            if (!t.over && !stays(*rq, t) && !t.call->handedOver()) unsent.push_back({id, int(k)});
+            if (!t.over && !stays(t) && !t.call->handedOver()) unsent.push_back({id, int(k)});
         }
-    for (const auto &[id, no] : unsent) tryEnded(id, no, how);
+    for (const auto &[id, no] : unsent) tryEnded(id, no, Outcome::connectFailed);
 }
 
 void Gateway::happened(Event event, InstanceId record) {
--- a/src/gateway/gateway.hpp
+++ b/src/gateway/gateway.hpp
@@ -93,8 +93,7 @@
     std::optional<Span> handOver(ReqId id);
     void happened(Event event, InstanceId record);
     void happened(Event event);  // to every record
-    void endUnsent(const std::function<bool(const Req &, const Try &)> &stays,
-                   Outcome how = Outcome::connectFailed);
+    void endUnsent(const std::function<bool(const Try &)> &stays);
     void decide();
     void carryOut(InstanceId record, const Action &action);
     void send(InstanceId record, const SendTry &what);
--- a/src/platform/desk.cpp
+++ b/src/platform/desk.cpp
@@ -33,10 +33,10 @@
     bool dead = false;
 };
 
-Stream::Stream(asio::io_context &io, StreamTimes with, std::uint64_t seed, Log to, const char *named,
-               std::function<std::string()> path, std::function<Reader()> readers)
-    : context(io), times(with), chance(std::mt19937::result_type(seed)), log(std::move(to)), name(named),
-      target(std::move(path)), reader(std::move(readers)), timer(io), watchdog(io) {}
+Stream::Stream(asio::io_context &io, StreamTimes with, http::Fetch::Cut cutAt, std::uint64_t seed, Log to,
+               const char *named, std::function<std::string()> path, std::function<Reader()> readers)
+    : context(io), times(with), cut(cutAt), chance(std::mt19937::result_type(seed)), log(std::move(to)),
+      name(named), target(std::move(path)), reader(std::move(readers)), timer(io), watchdog(io) {}
 
 Stream::~Stream() {
     *alive = false;
@@ -76,7 +76,7 @@
         [this, leg, here = std::weak_ptr(alive)](std::string_view bytes) {
             if (!here.expired() && !leg->dead) said(leg, bytes);
         },
-        http::Fetch::Cut::nowhere);
+        cut);
     watch();
 }
 
@@ -108,7 +108,7 @@
     if (!coming && !standing) return;
     const auto due = [this] {
         if (!coming) return standing->spoke + times.silentFor;
-        return coming->spoke + std::min(times.silentFor, times.firstWord * (1 << std::min(mute, 6)));
+        return coming->spoke + backedOff(times.firstWord, times.silentFor, mute, 1);
     };
     watchdog.expires_at(due());
     watchdog.async_wait([this, due, here = std::weak_ptr(alive)](asio::error_code fault) {
@@ -134,7 +134,7 @@
     : context(io), directory(where), settings(with), at(places), log(std::move(to)), owner(std::move(from)),
       generation(known),
       list(
-          io, listTimes(), seed, log, "discovery",
+          io, listTimes(), http::Fetch::Cut::nowhere, seed, log, "discovery",
           [this] { return "/discovery/hosts?stream=1&index=" + std::to_string(generation); },
           [this]() -> Stream::Reader {
               return [this, values = std::make_shared<JsonValues>(kMostList)](std::string_view bytes) {
@@ -145,15 +145,16 @@
               };
           }),
       bulletin(
-          io, bulletinTimes(), seed + 1, log, "bulletin", [] { return std::string("/apis/fleet/bulletin"); },
+          io, bulletinTimes(), http::Fetch::Cut::atLines, seed + 1, log, "bulletin",
+          [] { return std::string("/apis/fleet/bulletin"); },
           [this]() -> Stream::Reader {
-              return [this, events = std::make_shared<EventLines>()](std::string_view bytes) {
-                  const bool spoke = bytes.find('\n') != std::string_view::npos;
-                  events->feed(bytes, [this](const std::string &event, const std::string &data) {
-                      if (event == "news") owner.tell(readNews(readForm(data)));
-                      else if (event == "counts") owner.tell(readCounts(readForm(data), settings.routes));
-                  });
-                  return spoke;
+              return [this, events = std::make_shared<EventLines>()](std::string_view line) {
+                  const auto event = events->line(line);
+                  if (!event) return true;
+                  if (event->first == "news") owner.tell(readNews(readForm(event->second)));
+                  else if (event->first == "counts")
+                      owner.tell(readCounts(readForm(event->second), settings.routes));
+                  return true;
               };
           }) {
     list.open(at.discovery);
--- a/src/platform/desk.hpp
+++ b/src/platform/desk.hpp
@@ -18,8 +18,8 @@
   public:
     // Whether a whole word of the peer's has come, a sign of life among them. Throws where it can't be read.
     using Reader = std::function<bool(std::string_view bytes)>;
-    Stream(asio::io_context &context, StreamTimes times, std::uint64_t seed, Log log, const char *name,
-           std::function<std::string()> target, std::function<Reader()> reader);
+    Stream(asio::io_context &context, StreamTimes times, http::Fetch::Cut cut, std::uint64_t seed, Log log,
+           const char *name, std::function<std::string()> target, std::function<Reader()> reader);
     ~Stream();
     void open(const asio::ip::tcp::endpoint &at);  // the one that stands is kept until the new one speaks
 
@@ -33,6 +33,7 @@
 
     asio::io_context &context;
     StreamTimes times;
+    http::Fetch::Cut cut;
     std::mt19937 chance;
     Log log;
     const char *name;
--- a/src/platform/documents.cpp
+++ b/src/platform/documents.cpp
@@ -215,19 +215,6 @@
            "&opinion=" + opinion;
 }
 
-void EventLines::feed(std::string_view bytes, const Event &tell) {
-    while (!bytes.empty()) {
-        const auto end = bytes.find('\n');
-        const bool whole = end != std::string_view::npos;
-        partial.append(bytes.substr(0, end));
-        if (partial.size() > kMostEvent) throw std::invalid_argument("a line is too long");
-        bytes.remove_prefix(whole ? end + 1 : bytes.size());
-        if (!whole) return;
-        const std::string text = std::exchange(partial, {});
-        if (const auto event = line(text)) tell(event->first, event->second);
-    }
-}
-
 std::optional<std::pair<std::string, std::string>> EventLines::line(std::string_view text) {
     if (text.ends_with('\r')) text.remove_suffix(1);
     if (text.empty()) {
--- a/src/platform/documents.hpp
+++ b/src/platform/documents.hpp
@@ -40,13 +40,11 @@
 // Lines of an event stream to whole events.
 class EventLines {
   public:
-    using Event = std::function<void(const std::string &name, const std::string &data)>;
-    void feed(std::string_view bytes, const Event &tell);
     // The event that this line completes, if any: its name and data.
     std::optional<std::pair<std::string, std::string>> line(std::string_view text);
 
   private:
-    std::string name, data, partial;
+    std::string name, data;
 };
 
 struct Start {
--- a/src/platform/limits.cpp
+++ b/src/platform/limits.cpp
@@ -48,7 +48,7 @@
 
 // The agent answers at once unless discovery is down; then the list as last known is all there is. A listing
 // that changed since binds 300 ms after it was told.
-Span firstListWithin() { return milliseconds(300); }
+Starting starting() { return {milliseconds(8000), milliseconds(50), milliseconds(300)}; }
 
 // Signs of life come every 2 s and every second: one of them late by half, or two. The list's silence has a
 // clock: what it misses counts as told 6 s after it began. Its agent answers at once, but may be mute once or
--- a/src/platform/limits.hpp
+++ b/src/platform/limits.hpp
@@ -30,7 +30,12 @@
                            // silentFor
     Span first{}, most{};  // pauses before it is opened anew
 };
-Span firstListWithin();  // a start waits for it so long before it serves from the list as last known
+// How a start goes.
+struct Starting {
+    Span listensWithin{}, listensAgain{};  // while its address is still taken: at most, and a pause
+    Span firstListWithin{};                // then it serves from the list as last known
+};
+Starting starting();
 Ending ending(Span longestTimeout);
 StreamTimes listTimes();
 StreamTimes bulletinTimes();
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -11,8 +11,6 @@
 namespace {
 
 constexpr auto kReportEvery = std::chrono::seconds(5);
-constexpr auto kListenWithin = std::chrono::seconds(8);
-constexpr auto kListenAgain = std::chrono::milliseconds(50);
 
 Start read(const std::string &file) {
     const auto whole = readWhole(file);
@@ -43,7 +41,7 @@
         gateway->remember(listTold(start.known));
         if (start.news) gateway->tell(*start.news);
         log.info("listening", {{"listen", format(gateway->address())}});
-        after(listWithin, platform::firstListWithin(), [this] { ready(); });
+        after(listWithin, platform::starting().firstListWithin, [this] { ready(); });
         gateway->onListed = [this] { ready(); };
         onSignal();
         report();
@@ -55,7 +53,7 @@
   private:
     // A process of before may hold the address for a moment more: it is waited for.
     bool open(const GatewayOrders &orders) {
-        const auto until = std::chrono::steady_clock::now() + kListenWithin;
+        const auto until = std::chrono::steady_clock::now() + platform::starting().listensWithin;
         for (bool said = false; !gateway; said = true) try {
                 gateway = std::make_unique<Gateway>(context, clock, orders, start.seed, log, *ways);
             } catch (const std::system_error &fault) {
@@ -64,7 +62,7 @@
                 if (!said || !waits)
                     log.warn("listen", {{"address", format(start.listen)}, {"fault", fault.what()}});
                 if (!waits) return false;
-                std::this_thread::sleep_for(kListenAgain);
+                std::this_thread::sleep_for(platform::starting().listensAgain);
             }
         return true;
     }
--- a/src/resp/client.cpp
+++ b/src/resp/client.cpp
@@ -20,7 +20,7 @@
         if (!made) return self->finish(CallEnd::connectFailed);
         self->connected = true;
         // What comes before anything was asked would be taken for the answer.
-        if (!self->isQuiet()) return self->finish(CallEnd::connectFailed);
+        if (peek(self->socket) != Unread::nothing) return self->finish(CallEnd::connectFailed);
         self->begin();
     });
 }
@@ -88,15 +88,8 @@
     readable();
 }
 
-bool ClientConnection::isQuiet() {
-    char byte = 0;
-    asio::error_code fault;
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
-    return fault == asio::error::would_block;
-}
-
 bool ClientConnection::stillQuiet() {
-    if (isQuiet()) return true;
+    if (peek(socket) == Unread::nothing) return true;
     drop();
     return false;
 }
--- a/src/resp/client.hpp
+++ b/src/resp/client.hpp
@@ -34,7 +34,6 @@
   private:
     void begin();
     void send();
-    bool isQuiet();  // nothing has come that was not read, the peer's end neither
     void awaitRead();
     void readable();
     void finish(CallEnd how, Value value = {});
--- a/src/resp/room.cpp
+++ b/src/resp/room.cpp
@@ -12,6 +12,11 @@
     return !one.begun && one.quietFor > limits.pressedIdleFor ? 1 : 0;
 }
 
+bool endsInDrain(const Standing &one, const DoorLimits &limits) {
+    if (one.lingering || one.inHand || one.begun || one.writing) return false;
+    return one.spoke || one.quietFor >= limits.newcomerFor;
+}
+
 Due dueOf(const Standing &one, const DoorLimits &limits, bool isPressed) {
     if (one.inHand && one.errorDue) return Due::error;
     if (one.lingering) return one.quietFor >= limits.lingerFor ? Due::close : Due::nothing;
--- a/src/resp/room.hpp
+++ b/src/resp/room.hpp
@@ -19,6 +19,7 @@
     Span pressedIdleFor = std::chrono::seconds(2);         // the same from half of the connections on
     Span slowPeerFor = std::chrono::seconds(5);          // a reader that takes nothing for so long is cut off
     Span refusalAfter = std::chrono::milliseconds(250);  // of what can't be served: floods that come back
+    Span newcomerFor = std::chrono::milliseconds(300);   // who has just connected as a drain begins
     Span lingerFor = std::chrono::milliseconds(500);     // for a peer to read the last answer before the end
 };
 
@@ -37,6 +38,9 @@
     Span stalledFor{};       // since it last took something
 };
 
+// In a drain: nothing of it is in hand or half read, and it is no newcomer that is about to ask.
+bool endsInDrain(const Standing &one, const DoorLimits &limits);
+
 // The higher, the sooner it makes room; 0: it can't.
 int dispensable(const Standing &one, const DoorLimits &limits);
 
--- a/src/resp/server.cpp
+++ b/src/resp/server.cpp
@@ -14,8 +14,6 @@
 constexpr auto kSweepEvery = std::chrono::milliseconds(100), kAcceptRetry = std::chrono::milliseconds(20);
 constexpr std::size_t kSwallowed = 256 * 1024;  // of a refused peer's bytes: then its connection is cut
 constexpr int kAcceptsAtOnce = 32;              // a turn's share: floods don't hold up who is connected
-// Who has just connected when a drain begins is about to ask: it is not closed before that, for so long.
-constexpr auto kNewcomer = std::chrono::milliseconds(300);
 
 struct Door::Core : std::enable_shared_from_this<Door::Core> {
     Core(asio::io_context &io, const tcp::endpoint &at, const DoorLimits &most, Handler take)
@@ -41,7 +39,7 @@
     Handler handler;
     asio::steady_timer retry, sweeper;
     std::set<std::shared_ptr<ServerConnection>> open;
-    bool accepting = false, draining = false, closed = false;
+    bool draining = false, closed = false;
     std::function<void()> onEmpty;
     std::array<char, 16 * 1024> buffer;  // shared: an idle connection holds none of its own
 };
@@ -80,18 +78,18 @@
     }
     Time lastActive() const { return since; }
     // Bytes have come that this process has not read yet: that is not saying nothing.
-    bool hasUnread() { return unread = slots.empty() && !lingering && peek() == Peek::bytes; }
+    bool hasUnread() { return unread = slots.empty() && !lingering && peek(socket) == Unread::bytes; }
     bool peerThere() {
-        if (closed || peek() != Peek::ended) return !closed;
+        if (closed || peek(socket) != Unread::end) return !closed;
         asio::post(socket.get_executor(), [self = shared_from_this()] { self->shut(false); });
         return false;
     }
 
     // Ends it unless something of it is in hand, half read or unread: that is answered first.
     void drain() {
-        if (closed || lingering || !slots.empty() || parser.begun() || !pending.empty()) return;
-        if (!outgoing.empty() || peek() == Peek::bytes) return;
-        if (spoke || std::chrono::steady_clock::now() - since >= kNewcomer) linger();
+        if (closed || !pending.empty()) return;
+        if (!endsInDrain(standing(std::chrono::steady_clock::now()), door->limits)) return;
+        if (peek(socket) != Unread::bytes) linger();
     }
 
     void sweep(Time now, bool isPressed) {
@@ -101,9 +99,9 @@
         case Due::cut: return shut(true);
         case Due::close: return shut(false);
         // What has come meanwhile crosses the time that is up, and is served.
-        case Due::linger: return peek() == Peek::bytes ? void() : linger();
+        case Due::linger: return peek(socket) == Unread::bytes ? void() : linger();
         case Due::incomplete:
-            return peek() == Peek::bytes ? void() : fail("the command is not complete in time");
+            return peek(socket) == Unread::bytes ? void() : fail("the command is not complete in time");
         }
     }
 
@@ -138,13 +136,6 @@
     void refusal() { refuseAt = std::chrono::steady_clock::now() + door->limits.refusalAfter; }
 
   private:
-    enum class Peek { nothing, bytes, ended };
-    Peek peek() {
-        char byte = 0;
-        asio::error_code fault;
-        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, fault);
-        return !fault ? Peek::bytes : fault == asio::error::would_block ? Peek::nothing : Peek::ended;
-    }
     bool mayTakeUp() const {
         return refuseAt == Time{} && slots.size() < door->limits.pipelined &&
                outgoing.size() - gone < door->limits.waitingBytes;
@@ -308,9 +299,7 @@
 
 void Door::Core::accept() {
     if (draining || closed) return;
-    if (std::exchange(accepting, true)) return;
     acceptor.async_wait(tcp::acceptor::wait_read, [self = shared_from_this()](asio::error_code fault) {
-        self->accepting = false;
         if (fault || self->closed || self->draining) return;
         self->take();
     });
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -40,7 +40,7 @@
     // Listens at once; accepts from open() on.
     Door(asio::io_context &context, const asio::ip::tcp::endpoint &address, const DoorLimits &limits,
          Handler handler);
-    void open();
+    void open();  // once
     ~Door();
     Door(const Door &) = delete;
     Door &operator=(const Door &) = delete;
--- a/tests/path/crossings_test.cpp
+++ b/tests/path/crossings_test.cpp
@@ -45,6 +45,8 @@
     std::vector<std::unique_ptr<tcp::socket>> fillers;
 };
 
+Reply silent(std::size_t, const std::vector<std::string> &) { return {""}; }
+
 class Crossing : public Platform {
   protected:
     // A watch in the middle of which discovery falls silent.
@@ -56,6 +58,15 @@
     bool listed(const ServerId &id) const {
         return std::ranges::any_of(gateway->listed(), [&](const auto &s) { return s.id == id; });
     }
+    bool drains() const {
+        return std::ranges::any_of(gateway->listed(),
+                                   [](const auto &s) { return s.readiness == Readiness::draining; });
+    }
+    // To the instance with its first command, in ms.
+    static int timeTold(const RespInstance &one) {
+        const std::string &told = one.commands.at(0).at(3);
+        return std::atoi(told.c_str() + told.find("d=") + 2);
+    }
     std::string change(const std::string &id, const std::string &state, int indent, std::int64_t generation) {
         return json{{"generation", generation},
                     {"reset", false},
@@ -103,10 +114,7 @@
                           }};
     fallSilent();
     standin.list("s1", one.address(), 1, "Terminating");
-    EXPECT_TRUE(until([&] {
-        const auto all = gateway->listed();
-        return std::ranges::any_of(all, [](const auto &s) { return s.readiness == Readiness::draining; });
-    }));
+    EXPECT_TRUE(until([&] { return drains(); }));
     EXPECT_LT(silentFor(), 6s);
 }
 
@@ -120,10 +128,7 @@
     const auto at = *parseAddress(second.address());
     const auto from = std::chrono::steady_clock::now();
     ways->desks->move({at, *parseAddress(standin.address())});
-    EXPECT_TRUE(until([&] {
-        const auto all = gateway->listed();
-        return std::ranges::any_of(all, [](const auto &s) { return s.readiness == Readiness::draining; });
-    }));
+    EXPECT_TRUE(until([&] { return drains(); }));
     EXPECT_LT(std::chrono::steady_clock::now() - from, 4s);
 }
 
@@ -194,7 +199,7 @@
 }
 
 TEST_F(Crossing, WhatComesAfterTheLastAnswersIsShedAtOnce) {
-    instance([](std::size_t, const std::vector<std::string> &) { return Reply{""}; });
+    instance(silent);
     begin();
     auto &c = client();
     c.send(req("a"));
@@ -230,7 +235,7 @@
 // ---- reqs and attempts ----
 
 TEST_F(Crossing, ACloseThatIsUnreadWhenAnAttemptFailsSendsNothingFurther) {
-    instance([](std::size_t, const std::vector<std::string> &) { return Reply{""}; });
+    instance(silent);
     begin();
     auto &c = client();
     c.send(req("a"));
@@ -246,7 +251,7 @@
 }
 
 TEST_F(Crossing, ACloseBehindMoreCommandsThanAreTakenUpIsSeenAtOnce) {
-    instance([](std::size_t, const std::vector<std::string> &) { return Reply{""}; });
+    instance(silent);
     begin();
     auto &c = client();
     std::string many;
@@ -299,10 +304,8 @@
     ASSERT_TRUE(until([&] { return gateway->counts().tries == 1; }));
     clock.ahead += 150ms;  // while its connection comes up
     ASSERT_TRUE(until([&] { return !c.in.empty(); }));
-    const std::string &told = one.commands.at(0).at(3);
-    const int left = std::atoi(told.c_str() + told.find("d=") + 2);
-    EXPECT_LE(left, 2850) << told;
-    EXPECT_GT(left, 2000) << told;
+    EXPECT_LE(timeTold(one), 2850);
+    EXPECT_GT(timeTold(one), 2000);
 }
 
 TEST_F(Crossing, AReqInPiecesCountsFromItsLastByteAndWhatFollowsIsRead) {
@@ -319,8 +322,7 @@
     c.send(first.substr(first.size() - 1) + second.substr(0, 30));
     c.send(second.substr(30));
     ASSERT_TRUE(until([&] { return c.in == resp::bulk("of a") + resp::bulk("of b"); }));
-    const std::string &told = one.commands.at(0).at(3);
-    EXPECT_GT(std::atoi(told.c_str() + told.find("d=") + 2), 2900) << told;
+    EXPECT_GT(timeTold(one), 2900);
 }
 
 TEST_F(Crossing, WhatAnInstanceSaysBeforeItWasAskedIsNoAnswer) {
@@ -441,7 +443,7 @@
 };
 
 TEST_F(Program, ASecondSignalAndANewConfigurationLeaveWhatIsInHandAlone) {
-    auto &one = instance([](std::size_t, const std::vector<std::string> &) { return Reply{""}; });
+    auto &one = instance(silent);
     launch();
     auto &c = clientOf(listens());
     c.send(req("a"));
@@ -460,7 +462,7 @@
 }
 
 TEST_F(Program, AReqThatIsNeverAnsweredIsErroredBeforeTheProcessEnds) {
-    instance([](std::size_t, const std::vector<std::string> &) { return Reply{""}; });
+    instance(silent);
     launch();
     auto &c = clientOf(listens());
     c.send(req("a", "once", "3900"));
