--- a/review/standin/slow_discovery.cpp
+++ b/review/standin/slow_discovery.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr double kListTakesMs = 4000;   // from the watch's opening to the list's last byte
+constexpr double kListTakesMs = 3500;   // from the watch's opening to the list's last byte
 constexpr double kDrainAtMs = 4000;     // discovery has it
 constexpr double kToldWithinMs = 6000;  // "6 s after discovery had it and could be reached"
 constexpr double kGraceMs = 1000;       // Safety.DrainGraceS
