--- a/review/standin/standin.hpp
+++ b/review/standin/standin.hpp
@@ -523,10 +523,10 @@
     int port = freePort();
 
     explicit GatewayProcess(std::string runCommand) : run(std::move(runCommand)) {
-        char name[] = "/tmp/deckcart-review-XXXXXX";
-        if (!mkdtemp(name))
+        const char *parent = std::getenv("TMPDIR");
+        folder = std::string(parent && *parent ? parent : "/tmp") + "/deckcart-review-XXXXXX";
+        if (!mkdtemp(folder.data()))
             std::exit(kCannotRun);
-        folder = name;
     }
     /// Starts it and waits until it answers PING. Ends the case if it does not.
     void start(const std::string &config) {
