Counters for what holds memory and places at the platform's listener

Growing memory may be ids of ended requests, requests in flight, bytes of clients or the decision module; a request answered late may have waited for a place at the listener, or within the gateway.

Change: counts line every 5 s has heapBytes, requestIds, endedRequestIds, clientBufferBytes, incompleteCommands, evictions, longestAcceptWaitMs.

--- a/src/platform/downstream.hpp
+++ b/src/platform/downstream.hpp
@@ -25,6 +25,8 @@
     void applyLimits() override {}  // the limits are fixed for the life of the process
     void drain(std::function<void()> ended) override { listener.drain(std::move(ended)); }
     std::size_t connections() const override { return listener.connections(); }
+    resp::ListenerStatistics listenerStatistics() const { return listener.statistics(); }
+    const RequestIdRegistry &knownRequestIds() const { return *requestIds; }
 
   private:
     void onCommand(const std::shared_ptr<resp::Exchange> &exchange);
--- a/src/platform/request_ids.hpp
+++ b/src/platform/request_ids.hpp
@@ -23,6 +23,8 @@
     void markEnded(const std::string &id, TimePoint now);
     /// Number of known ids.
     [[nodiscard]] std::size_t size() const { return knownIds.size(); }
+    /// Number of ids of requests that have ended.
+    [[nodiscard]] std::size_t endedCount() const { return ended.size(); }
 
   private:
     struct EndedRequest {
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -1,5 +1,7 @@
 #include "service.hpp"
 
+#include <malloc.h>
+
 #include <csignal>
 #include <thread>
 
@@ -108,11 +110,31 @@
     nlohmann::json counters() const {
         nlohmann::json fields = countersJson(*gateway);
         fields["refused"] = gateway->counts().unrouted;
-        fields["clients"] = gateway->connections();
         fields["upstreams"] = transport->upstreamPool->connections();
+        addMemoryCounters(fields);
+        addListenerCounters(fields);
         return fields;
     }
 
+    // What holds memory: tells ids of ended requests, requests in flight and bytes of clients
+    // apart.
+    void addMemoryCounters(nlohmann::json &fields) const {
+        const RequestIdRegistry &ids = transport->respDownstream->knownRequestIds();
+        fields["heapBytes"] = mallinfo2().uordblks;
+        fields["requestIds"] = ids.size();
+        fields["endedRequestIds"] = ids.endedCount();
+    }
+
+    // What holds places at the listener, and for how long it could not accept.
+    void addListenerCounters(nlohmann::json &fields) const {
+        const resp::ListenerStatistics listener = transport->respDownstream->listenerStatistics();
+        fields["clients"] = listener.connections;
+        fields["incompleteCommands"] = listener.incompleteCommands;
+        fields["clientBufferBytes"] = listener.bufferedBytes;
+        fields["evictions"] = listener.evictions;
+        fields["longestAcceptWaitMs"] = milliseconds(listener.longestAcceptWait);
+    }
+
     void logCountersPeriodically() {
         callAfter(countersLogTimer, kCountersLogInterval, [this] {
             log.info("counts", counters());
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -38,8 +38,11 @@
 
 void Listener::Core::acceptBacklog() {
     for (int accepted = 0; accepted < kMaxAcceptsPerTurn; ++accepted) {
-        if (openConnections.size() >= limits.connections && !evictOne())
+        if (openConnections.size() >= limits.connections && !evictOne()) {
+            noteAcceptWait();
             return retryLater();
+        }
+        acceptWaitingSince.reset();
         asio::error_code fault;
         tcp::socket socket(context);
         acceptor.accept(socket, fault);
@@ -74,6 +77,14 @@
     });
 }
 
+void Listener::Core::noteAcceptWait() {
+    const SteadyTime now = std::chrono::steady_clock::now();
+    if (!acceptWaitingSince)
+        acceptWaitingSince = now;
+    longestAcceptWait = std::max(longestAcceptWait,
+                                 std::chrono::duration_cast<Duration>(now - *acceptWaitingSince));
+}
+
 void Listener::Core::onClosed() {
     if (draining && !acceptor.is_open() && openConnections.empty() && onEmpty)
         asio::post(context, std::exchange(onEmpty, nullptr));
@@ -99,6 +110,7 @@
         if (connection->checkUnreadBytes())
             continue;
         connection->close(net::CloseMode::graceful);
+        ++evictions;
         return true;
     }
     return false;
@@ -152,6 +164,19 @@
     return core->openConnections.size();
 }
 
+ListenerStatistics Listener::statistics() const {
+    ListenerStatistics result;
+    result.connections = core->openConnections.size();
+    result.evictions = core->evictions;
+    result.longestAcceptWait = core->longestAcceptWait;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    for (const auto &connection : core->openConnections) {
+        result.incompleteCommands += connection->state(now).commandStarted ? 1 : 0;
+        result.bufferedBytes += connection->bufferedBytes();
+    }
+    return result;
+}
+
 void Listener::drain(std::function<void()> onEmpty) {
     core->draining = true;
     core->onEmpty = std::move(onEmpty);
--- a/src/resp/listener_core.hpp
+++ b/src/resp/listener_core.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <optional>
 #include <set>
 
 #include "server.hpp"
@@ -22,6 +23,8 @@
     void acceptBacklog();
     /// Accepts again after a delay.
     void retryLater();
+    /// Records for how long accepting has waited at the connection limit.
+    void noteAcceptWait();
     /// Applies the timeouts of all connections, now and then periodically.
     void sweep();
     /// Closes the connection with the highest eviction priority; false if none can be evicted.
@@ -46,6 +49,9 @@
     asio::steady_timer acceptRetryTimer;
     asio::steady_timer sweepTimer;
     std::set<std::shared_ptr<ServerConnection>> openConnections;
+    std::optional<SteadyTime> acceptWaitingSince;  // at the connection limit
+    Duration longestAcceptWait{};
+    std::uint64_t evictions = 0;
     bool draining = false;
     bool closed = false;
     std::function<void()> onEmpty;
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -13,6 +13,15 @@
 
 class ServerConnection;
 
+/// What a listener holds at one moment, and counts since its construction.
+struct ListenerStatistics {
+    std::size_t connections = 0;         ///< open
+    std::size_t incompleteCommands = 0;  ///< connections of which a command was read in part
+    std::size_t bufferedBytes = 0;       ///< read ahead, and of replies that are not sent yet
+    std::uint64_t evictions = 0;         ///< connections closed in favor of new ones
+    Duration longestAcceptWait{};        ///< longest time at the connection limit without accepting
+};
+
 /// One received command and its reply, which is sent once. A reply after the peer has disconnected
 /// is ignored. Runs on the event loop's thread only.
 class Exchange {
@@ -62,6 +71,7 @@
     void drain(std::function<void()> onEmpty);
     /// Number of open connections.
     std::size_t connections() const;
+    ListenerStatistics statistics() const;
 
     struct Core;
 
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -31,6 +31,8 @@
     // Called by the listener.
     ConnectionState state(SteadyTime now) const;
     SteadyTime lastActive() const { return lastActiveTime; }
+    /// Bytes read ahead and bytes of replies that the socket has not accepted yet.
+    std::size_t bufferedBytes() const { return readAhead.size() + outgoing.size() - writtenBytes; }
     /// Whether the socket holds unread bytes. Such a connection is not evicted as silent or idle.
     bool checkUnreadBytes();
     /// Closes the connection unless a command is in flight, read in part or unread; such commands
