--- a/src/gateway/attempt_dispatcher.cpp
+++ b/src/gateway/attempt_dispatcher.cpp
@@ -86,6 +86,7 @@
     CallObserver *observer = attempt.observer.get();
     const BuildNumber build = attempt.build;
     request.attempts.push_back(std::move(attempt));
+    request.downstream->onAttemptStart();
     call->start(
         *request.downstream, request.clientRequestId,
         [this, id = request.id] { return timeLeftToSend(id); }, build, observer);
--- a/src/gateway/transport.hpp
+++ b/src/gateway/transport.hpp
@@ -39,6 +39,8 @@
     virtual bool isOpen() const = 0;
     /// Like isOpen(), but also checks the client's socket for a close that has not been read yet.
     virtual bool isClientConnected() const { return isOpen(); }
+    /// Called before an attempt is sent: from now on, an endpoint may see the request's id.
+    virtual void onAttemptStart() {}
     /// Rejects the request. `requestId` is the request id that is returned to the client.
     virtual void respondShed(const std::string &requestId, Duration retryAfter) = 0;
     /// Responds with an error. `late`: the request's deadline has passed.
--- a/src/platform/downstream.cpp
+++ b/src/platform/downstream.cpp
@@ -26,6 +26,7 @@
 
     bool isOpen() const override { return exchange->open(); }
     bool isClientConnected() const override { return isOpen() && exchange->peerThere(); }
+    void onAttemptStart() override { forwarded = true; }
     void respondShed(const std::string &, Duration retryAfter) override {
         const auto retryAfterMs = retryAfter.count() / 1000;
         if (retryAfterMs > 0)
@@ -51,12 +52,13 @@
     }
     void releaseId() {
         if (!std::exchange(idReleased, true))
-            requestIds->markEnded(attributes.requestId, clock.now());
+            requestIds->markEnded(attributes.requestId, forwarded, clock.now());
     }
 
     const Clock &clock;
     std::shared_ptr<resp::Exchange> exchange;
     std::shared_ptr<RequestIdRegistry> requestIds;
+    bool forwarded = false;  // an endpoint may have seen the id
     bool idReleased = false;
 };
 
@@ -67,13 +69,13 @@
 }
 
 RespDownstream::RespDownstream(asio::io_context &context, const Clock &gatewayClock,
-                               const asio::ip::tcp::endpoint &address,
-                               const resp::ListenerLimits &limits,
+                               const asio::ip::tcp::endpoint &address, const ResourceLimits &limits,
                                const simulator::DeploymentSettings &deployment,
                                DownstreamHandler gatewayHandler)
     : clock(gatewayClock), settings(deployment), handler(std::move(gatewayHandler)),
-      requestIds(std::make_shared<RequestIdRegistry>(deployment.longestTimeout())),
-      listener(context, address, limits,
+      requestIds(
+          std::make_shared<RequestIdRegistry>(deployment.longestTimeout(), limits.endedRequestIds)),
+      listener(context, address, listenerLimits(limits),
                [this](const std::shared_ptr<resp::Exchange> &exchange) { onCommand(exchange); }) {}
 
 void RespDownstream::onCommand(const std::shared_ptr<resp::Exchange> &exchange) {
--- a/src/platform/downstream.hpp
+++ b/src/platform/downstream.hpp
@@ -6,6 +6,7 @@
 #include "../resp/server.hpp"
 #include "commands.hpp"
 #include "request_ids.hpp"
+#include "resource_limits.hpp"
 
 namespace deckcart::platform {
 
@@ -16,7 +17,7 @@
     /// @param clock,settings  must outlive this object
     /// @throws std::system_error if it cannot listen on the address
     RespDownstream(asio::io_context &context, const Clock &clock,
-                   const asio::ip::tcp::endpoint &address, const resp::ListenerLimits &limits,
+                   const asio::ip::tcp::endpoint &address, const ResourceLimits &limits,
                    const simulator::DeploymentSettings &settings, DownstreamHandler handler);
 
     /// Starts accepting, including connections already in the listen queue. Call once.
--- a/src/platform/resource_limits.cpp
+++ b/src/platform/resource_limits.cpp
@@ -15,6 +15,9 @@
 constexpr std::size_t kRequestsPerMb = 32;
 constexpr std::size_t kBytesPerMb = 1048576;
 
+// An id takes 64 bytes in a hash table and a queue: 32 KiB of each MiB.
+constexpr std::size_t kEndedRequestIdsPerMb = 512;
+
 // The platform states that values have at most 64 KiB, but values of three times that size have
 // been seen. A reply may take 1/64 of the memory, since some tens of replies arrive at a time; a
 // command 1/256, since all clients may send oversized commands at once.
@@ -53,6 +56,7 @@
         std::max<std::size_t>(1, availableSockets - limits.upstreamConnections);
     limits.maxRequestsInFlight =
         std::max<std::size_t>(1, std::min(maxRequestsInFlight, memoryMb * kRequestsPerMb));
+    limits.endedRequestIds = memoryMb * kEndedRequestIdsPerMb;
     const std::size_t memoryBytes = memoryMb * kBytesPerMb;
     limits.valueBytes =
         std::clamp(memoryBytes / kValueMemoryDivisor, kMinValueBytes, kMaxValueBytes);
--- a/src/platform/resource_limits.hpp
+++ b/src/platform/resource_limits.hpp
@@ -13,10 +13,11 @@
     /// For discovery, control service, signals, logs and connections being closed.
     std::size_t reservedSockets = 0;
     std::size_t maxRequestsInFlight = 0;
-    std::size_t valueBytes = 0;      ///< maximum size of the value in an endpoint's reply
-    std::size_t bodyBytes = 0;       ///< maximum size of the body of a client's command
-    Duration upstreamIdleTimeout{};  ///< how long an idle connection to an endpoint is kept
-    Duration idleSweepInterval{};    ///< how often idle connections are checked
+    std::size_t endedRequestIds = 0;  ///< ids kept of requests that have ended
+    std::size_t valueBytes = 0;       ///< maximum size of the value in an endpoint's reply
+    std::size_t bodyBytes = 0;        ///< maximum size of the body of a client's command
+    Duration upstreamIdleTimeout{};   ///< how long an idle connection to an endpoint is kept
+    Duration idleSweepInterval{};     ///< how often idle connections are checked
     /// Minimum idle time before a connection is reused: surplus bytes behind a reply are detected
     /// meanwhile.
     Duration reuseDelay{};
--- a/src/platform/transport.cpp
+++ b/src/platform/transport.cpp
@@ -10,9 +10,8 @@
 
 std::unique_ptr<Downstream> PlatformTransport::downstream(const GatewaySettings &,
                                                           DownstreamHandler handler) const {
-    auto created = std::make_unique<RespDownstream>(context, clock, configuration.listen,
-                                                    listenerLimits(limits), configuration.settings,
-                                                    std::move(handler));
+    auto created = std::make_unique<RespDownstream>(context, clock, configuration.listen, limits,
+                                                    configuration.settings, std::move(handler));
     respDownstream = created.get();
     return created;
 }
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -147,6 +147,19 @@
     EXPECT_EQ(receivedCommandCount(), 1u);
 }
 
+// Guards against a gateway killed for memory: clients that were shed by the ten thousands a second
+// left their request ids behind for the longest route timeout.
+TEST_F(Platform, ShedRequestsLeaveNoIdsBehind) {
+    startGateway();
+    auto &connection = client();
+    std::string requests;
+    for (int index = 0; index < 500; ++index)
+        requests += request("r" + std::to_string(index), "any", "1");  // shed at once
+    connection.send(requests);
+    ASSERT_TRUE(until([&] { return gateway->counts().shed == 500; }));
+    EXPECT_EQ(transport->respDownstream->knownRequestIds().size(), 0u);
+}
+
 TEST_F(Platform, SilentConnectionsAreClosedInFavorOfActiveOnes) {
     endpoint(echo);
     startGateway(64);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -247,25 +247,52 @@
     EXPECT_LE(divideResources(1024, 100000, 10, 15s).valueBytes, 1048576u);
     EXPECT_EQ(divideResources(256, 8, 10, 15s).bodyBytes, 65536u);
     EXPECT_EQ(divideResources(256, 32, 10, 15s).maxRequestsInFlight, 10u);
+    constexpr std::size_t kBytesPerEndedId = 64;
+    EXPECT_LE(divideResources(256, 32, 10, 15s).endedRequestIds * kBytesPerEndedId,
+              32u * 1048576 / 16)
+        << "a small part of the memory";
     EXPECT_LT(shutdownPlan(10s).answerDeadline, Duration{3700ms})
         << "before the platform kills the process";
     EXPECT_EQ(shutdownPlan(1s).acceptDeadline, Duration{500ms}) << "while clients still connect";
 }
 
 TEST(PlatformRequestIds, KeepsAnIdDuringTheRequestAndTheRetentionTime) {
-    RequestIdRegistry ids(2s);
+    RequestIdRegistry ids(2s, 1000);
     EXPECT_TRUE(ids.add("a", 0s));
     EXPECT_FALSE(ids.add("a", 1s)) << "in flight";
-    ids.markEnded("a", 1s);
+    ids.markEnded("a", true, 1s);
     EXPECT_FALSE(ids.add("a", 2s)) << "ended recently: an endpoint would answer with an error";
     EXPECT_TRUE(ids.add("a", 4s));
     for (int index = 0; index < 10000; ++index) {
         EXPECT_TRUE(ids.add("n" + std::to_string(index), Duration{index * 10ms}));
-        ids.markEnded("n" + std::to_string(index), Duration{index * 10ms});
+        ids.markEnded("n" + std::to_string(index), true, Duration{index * 10ms});
     }
     EXPECT_LT(ids.size(), 300u) << "expired ids are removed";
 }
 
+// Guards against memory that grows with the rate of requests: ids of shed requests were kept, and
+// those of ended requests in any number.
+TEST(PlatformRequestIds, KeepsABoundedNumberOfEndedIdsAndNoneThatWasNeverForwarded) {
+    RequestIdRegistry ids(8s, 100);
+    EXPECT_TRUE(ids.add("forwarded", 0s));
+    ids.markEnded("forwarded", true, 0s);
+    for (int index = 0; index < 10000; ++index) {
+        EXPECT_TRUE(ids.add("shed" + std::to_string(index), 1s));
+        ids.markEnded("shed" + std::to_string(index), false, 1s);
+    }
+    EXPECT_EQ(ids.size(), 1u);
+    EXPECT_FALSE(ids.add("forwarded", 1s)) << "not displaced by shed requests";
+    EXPECT_TRUE(ids.add("shed1", 1s)) << "no endpoint has seen it";
+    ids.markEnded("shed1", false, 1s);
+    for (int index = 0; index < 10000; ++index) {
+        EXPECT_TRUE(ids.add("n" + std::to_string(index), 1s));
+        ids.markEnded("n" + std::to_string(index), true, 1s);
+    }
+    EXPECT_EQ(ids.size(), 100u);
+    EXPECT_FALSE(ids.add("n9999", 1s)) << "the latest are kept";
+    EXPECT_TRUE(ids.add("n1", 1s)) << "the oldest are dropped";
+}
+
 // Runs the decision module on a fixed series of events and returns its actions. The names of the
 // routes and the tenant must not affect them.
 std::string actionsWithNames(const std::string &lookupName, const std::string &orderName,
