--- a/src/resp/connection_admission.cpp
+++ b/src/resp/connection_admission.cpp
@@ -5,9 +5,10 @@
 namespace {
 
 // The higher the value, the sooner a connection is evicted: first one that is closing, then one
-// that has never sent bytes, then one that only waits for a delayed error, last one that is idle. A
-// connection with unread bytes counts neither as silent nor as idle.
-enum EvictionPriority { kNever, kIdle, kRefused, kSilent, kLingering };
+// whose command stays incomplete, then one that has never sent bytes, then one that only waits for
+// a delayed error, last one that is idle. A connection with unread bytes counts neither as
+// incomplete nor as silent nor as idle.
+enum EvictionPriority { kNever, kIdle, kRefused, kSilent, kIncomplete, kLingering };
 
 }  // namespace
 
@@ -19,10 +20,10 @@
     if (connection.hasUnreadBytes)
         return kNever;
     if (!connection.receivedAny)
-        return kSilent;
-    const bool isIdle =
-        !connection.commandStarted && connection.idleTime > limits.idleTimeoutUnderPressure;
-    return isIdle ? kIdle : kNever;
+        return connection.idleTime >= limits.silentGrace ? kSilent : kNever;
+    if (connection.commandStarted)
+        return connection.commandAge >= limits.incompleteCommandGrace ? kIncomplete : kNever;
+    return connection.idleTime > limits.idleTimeoutUnderPressure ? kIdle : kNever;
 }
 
 bool endsInDrain(const ConnectionState &connection, const ListenerLimits &limits) {
--- a/src/resp/connection_admission.hpp
+++ b/src/resp/connection_admission.hpp
@@ -23,8 +23,14 @@
     std::size_t waitingBytes = 256 * 1024;
     /// Timeout from accepting a connection to its first byte.
     Duration firstByteTimeout = std::chrono::milliseconds(1500);
-    /// Timeout from a command's first byte to its last.
+    /// Timeout from a command's first byte to its last, while there are free places.
     Duration commandTimeout = std::chrono::milliseconds(1500);
+    /// At the connection limit, a connection may be evicted this long after its command's first
+    /// byte if the last one has not come. Clients send a command at once; those of its bytes that
+    /// were sent and not read yet protect the connection.
+    Duration incompleteCommandGrace = std::chrono::milliseconds(100);
+    /// The same for a new connection that has sent nothing, from its accepting.
+    Duration silentGrace = std::chrono::milliseconds(20);
     /// Timeout between commands.
     Duration idleFor = std::chrono::seconds(30);
     /// The same while more than half of `connections` are open.
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -175,6 +175,29 @@
     })) << "silent connections are closed";
 }
 
+// Guards against lost requests: clients that stopped in the middle of a command held all places at
+// the listener until the command's timeout, while complete requests waited in the backlog.
+TEST_F(Platform, ClientsThatStopInTheMiddleGiveWayToCompleteRequests) {
+    endpoint(echo);
+    startGateway(64);
+    constexpr std::size_t kIncomplete = 60;  // a multiple of the places
+    for (std::size_t index = 0; index < kIncomplete; ++index)
+        client().send("*4\r\n$5\r\nQ.ASK\r\n$16\r\n7f3a9c");
+    auto &usual = client();
+    usual.send(request("r", "any", "600"));
+    // The client's time, the half second until an answer counts as lost, and the slack on sockets.
+    EXPECT_TRUE(until([&] { return isWholeReply(usual.in); }, 600ms + 500ms + 50ms));
+    EXPECT_EQ(usual.in, resp::bulk("of r"));
+    EXPECT_TRUE(until(
+        [&] {
+            return std::all_of(
+                clients.begin(), clients.begin() + kIncomplete,
+                [](auto &incomplete) { return incomplete.closed || !incomplete.in.empty(); });
+        },
+        1800ms))
+        << "bad clients are owed an error or a close within 3 s of connecting";
+}
+
 TEST_F(Platform, ADisconnectOfTheClientEndsItsAttempt) {
     endpoint(neverAnswer);
     startGateway();
