--- a/src/platform/request_ids.cpp
+++ b/src/platform/request_ids.cpp
@@ -14,13 +14,13 @@
 void RequestIdRegistry::markEnded(const std::string &id, bool forwarded, TimePoint now) {
     inFlight.erase(id);
     removeExpired(now);
-    if (!forwarded || endedCapacity == 0)
+    if (!forwarded)
         return;
-    if (ended.size() >= endedCapacity)
-        dropOldest();
     const Fingerprint fingerprint = fingerprintOf(id);
     ended.push_back({fingerprint, now});
     endedFingerprints.insert(fingerprint);
+    if (ended.size() > endedCapacity)
+        dropOldest();
 }
 
 RequestIdRegistry::Fingerprint RequestIdRegistry::fingerprintOf(const std::string &id) {
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -110,6 +110,7 @@
     nlohmann::json counters() const {
         nlohmann::json fields = countersJson(*gateway);
         fields["refused"] = gateway->counts().unrouted;
+        fields["clients"] = gateway->connections();
         fields["upstreams"] = transport->upstreamPool->connections();
         addMemoryCounters(fields);
         addListenerCounters(fields);
@@ -128,7 +129,6 @@
     // What holds places at the listener, and for how long it could not accept.
     void addListenerCounters(nlohmann::json &fields) const {
         const resp::ListenerStatistics listener = transport->respDownstream->listenerStatistics();
-        fields["clients"] = listener.connections;
         fields["incompleteCommands"] = listener.incompleteCommands;
         fields["clientBufferBytes"] = listener.bufferedBytes;
         fields["evictions"] = listener.evictions;
--- a/src/policy/event_window.cpp
+++ b/src/policy/event_window.cpp
@@ -1,6 +1,8 @@
 // Merging and dropping of a window's entries.
 #include "event_window.hpp"
 
+#include "time_window.hpp"
+
 namespace deckcart::policy {
 
 void EventWindow::add(TimePoint at) {
@@ -13,10 +15,7 @@
 }
 
 void EventWindow::dropUntil(TimePoint until) {
-    while (!entries.empty() && entries.front().at <= until) {
-        total -= entries.front().events;
-        entries.pop_front();
-    }
+    policy::dropUntil(entries, until, [this](const Entry &entry) { total -= entry.events; });
 }
 
 }  // namespace deckcart::policy
--- a/src/policy/exposure_limiter.hpp
+++ b/src/policy/exposure_limiter.hpp
@@ -44,8 +44,8 @@
     Times &attemptsAt(BuildNumber build, int route);
 
     const PolicySettings &settings;
-    std::vector<EventWindow>
-        received;  // one per route if the limit is per route, else a single one
+    // One per route if the limit is per route, else a single one.
+    std::vector<EventWindow> received;
     std::map<BuildNumber, std::vector<Times>> attempts;  // same, by build
 };
 
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -166,7 +166,6 @@
 
 ListenerStatistics Listener::statistics() const {
     ListenerStatistics result;
-    result.connections = core->openConnections.size();
     result.evictions = core->evictions;
     result.longestAcceptWait = core->longestAcceptWait;
     const SteadyTime now = std::chrono::steady_clock::now();
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -15,7 +15,6 @@
 
 /// What a listener holds at one moment, and counts since its construction.
 struct ListenerStatistics {
-    std::size_t connections = 0;         ///< open
     std::size_t incompleteCommands = 0;  ///< connections of which a command was read in part
     std::size_t bufferedBytes = 0;       ///< read ahead, and of replies that are not sent yet
     std::uint64_t evictions = 0;         ///< connections closed in favor of new ones
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -270,24 +270,31 @@
     EXPECT_LT(ids.size(), 300u) << "expired ids are removed";
 }
 
+// Adds requests named by `prefix` and a number, and ends each at once. Returns how many were
+// accepted.
+int addAndEnd(RequestIdRegistry &ids, const std::string &prefix, int requests, bool forwarded) {
+    constexpr TimePoint kNow = 1s;
+    int accepted = 0;
+    for (int index = 0; index < requests; ++index) {
+        const std::string id = prefix + std::to_string(index);
+        accepted += ids.add(id, kNow);
+        ids.markEnded(id, forwarded, kNow);
+    }
+    return accepted;
+}
+
 // Guards against memory that grows with the rate of requests: ids of shed requests were kept, and
 // those of ended requests in any number.
 TEST(PlatformRequestIds, KeepsABoundedNumberOfEndedIdsAndNoneThatWasNeverForwarded) {
     RequestIdRegistry ids(8s, 100);
     EXPECT_TRUE(ids.add("forwarded", 0s));
     ids.markEnded("forwarded", true, 0s);
-    for (int index = 0; index < 10000; ++index) {
-        EXPECT_TRUE(ids.add("shed" + std::to_string(index), 1s));
-        ids.markEnded("shed" + std::to_string(index), false, 1s);
-    }
+    EXPECT_EQ(addAndEnd(ids, "shed", 10000, false), 10000);
     EXPECT_EQ(ids.size(), 1u);
     EXPECT_FALSE(ids.add("forwarded", 1s)) << "not displaced by shed requests";
     EXPECT_TRUE(ids.add("shed1", 1s)) << "no endpoint has seen it";
     ids.markEnded("shed1", false, 1s);
-    for (int index = 0; index < 10000; ++index) {
-        EXPECT_TRUE(ids.add("n" + std::to_string(index), 1s));
-        ids.markEnded("n" + std::to_string(index), true, 1s);
-    }
+    EXPECT_EQ(addAndEnd(ids, "n", 10000, true), 10000);
     EXPECT_EQ(ids.size(), 100u);
     EXPECT_FALSE(ids.add("n9999", 1s)) << "the latest are kept";
     EXPECT_TRUE(ids.add("n1", 1s)) << "the oldest are dropped";
