Count refused commands whose error is still to be sent

The log line `counts` couldn't tell them apart.

New keys: pendingErrors (refused commands whose error is not sent) and longestErrorWaitMs (since the refusal).

--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -131,6 +131,8 @@
         const resp::ListenerStatistics listener = transport->respDownstream->listenerStatistics();
         fields["incompleteCommands"] = listener.incompleteCommands;
         fields["clientBufferBytes"] = listener.bufferedBytes;
+        fields["pendingErrors"] = listener.pendingErrors;
+        fields["longestErrorWaitMs"] = milliseconds(listener.longestErrorWait);
         fields["evictions"] = listener.evictions;
         fields["longestAcceptWaitMs"] = milliseconds(listener.longestAcceptWait);
     }
--- a/src/resp/connection_admission.hpp
+++ b/src/resp/connection_admission.hpp
@@ -7,6 +7,8 @@
 
 namespace deckcart::resp {
 
+using SteadyTime = std::chrono::steady_clock::time_point;
+
 /// Limits of a listener. Timeouts are checked by its periodic sweep, every 100 ms.
 struct ListenerLimits {
     /// At this number of open connections, one that can be spared is evicted (see
--- a/src/resp/exchange.cpp
+++ b/src/resp/exchange.cpp
@@ -21,6 +21,7 @@
     if (answered || refused)
         return;
     refused = true;
+    refusedAt = std::chrono::steady_clock::now();
     reply = error(message);
     onGone = nullptr;
     if (const auto server = connection.lock())
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -172,6 +172,10 @@
     for (const auto &connection : core->openConnections) {
         result.incompleteCommands += connection->state(now).commandStarted ? 1 : 0;
         result.bufferedBytes += connection->bufferedBytes();
+        if (const auto errorWait = connection->errorWait(now)) {
+            ++result.pendingErrors;
+            result.longestErrorWait = std::max(result.longestErrorWait, *errorWait);
+        }
     }
     return result;
 }
--- a/src/resp/listener_core.hpp
+++ b/src/resp/listener_core.hpp
@@ -10,8 +10,6 @@
 
 namespace deckcart::resp {
 
-using SteadyTime = std::chrono::steady_clock::time_point;
-
 struct Listener::Core : std::enable_shared_from_this<Listener::Core> {
     /// Opens the acceptor, binds it and listens. Throws std::system_error.
     Core(asio::io_context &loop, const asio::ip::tcp::endpoint &address,
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -17,6 +17,8 @@
 struct ListenerStatistics {
     std::size_t incompleteCommands = 0;  ///< connections of which a command was read in part
     std::size_t bufferedBytes = 0;       ///< read ahead, and of replies that are not sent yet
+    std::size_t pendingErrors = 0;       ///< refused commands whose error is not sent yet
+    Duration longestErrorWait{};         ///< of these, the longest time since the refusal
     std::uint64_t evictions = 0;         ///< connections closed in favor of new ones
     Duration longestAcceptWait{};        ///< longest time at the connection limit without accepting
 };
@@ -47,6 +49,7 @@
     std::string reply;
     bool answered = false;
     bool refused = false;
+    SteadyTime refusedAt{};
 };
 
 /// Listens from construction to destruction. Runs on the event loop's thread only.
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -148,6 +148,19 @@
     errorDueAt = steadyNow() + listener->limits.refusalDelay;
 }
 
+Exchange *ServerConnection::pendingRefusal() const {
+    const auto found = std::ranges::find_if(
+        pipeline, [](const auto &exchange) { return exchange->refused && !exchange->answered; });
+    return found == pipeline.end() ? nullptr : found->get();
+}
+
+std::optional<Duration> ServerConnection::errorWait(SteadyTime now) const {
+    const Exchange *refusal = pendingRefusal();
+    if (!refusal)
+        return std::nullopt;
+    return std::chrono::duration_cast<Duration>(now - refusal->refusedAt);
+}
+
 bool ServerConnection::canAcceptCommand() const {
     return errorDueAt == SteadyTime{} && pipeline.size() < listener->limits.pipelined &&
            outgoing.size() - writtenBytes < listener->limits.waitingBytes;
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -33,6 +33,8 @@
     SteadyTime lastActive() const { return lastActiveTime; }
     /// Bytes read ahead and bytes of replies that the socket has not accepted yet.
     std::size_t bufferedBytes() const { return readAhead.size() + outgoing.size() - writtenBytes; }
+    /// The time since a command was refused whose error is not sent yet; nullopt if there is none.
+    std::optional<Duration> errorWait(SteadyTime now) const;
     /// Whether the socket holds unread bytes. Such a connection is not evicted as silent or idle.
     bool checkUnreadBytes();
     /// Closes the connection unless a command is in flight, read in part or unread; such commands
@@ -42,6 +44,8 @@
     void sweep(SteadyTime now, bool underPressure);
 
   private:
+    /// The first refused command whose error is not sent yet, or null.
+    Exchange *pendingRefusal() const;
     bool canAcceptCommand() const;
     void onReadable();
     void onReadError(asio::error_code fault);
