Let the time of a delayed error belong to its refused command

Cause: the time at which a refused command's error is due stood on the connection. A reply that took an earlier refused command off the pipeline cleared it, though it belonged to a later one by then.

Change: Exchange::refusedAt; the connection derives pending and due errors from its pipeline.

--- a/src/resp/exchange.cpp
+++ b/src/resp/exchange.cpp
@@ -24,8 +24,6 @@
     refusedAt = std::chrono::steady_clock::now();
     reply = error(message);
     onGone = nullptr;
-    if (const auto server = connection.lock())
-        server->onRefused();
 }
 
 void Exchange::abort() {
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -51,7 +51,7 @@
     ConnectionState result;
     result.inFlight = !pipeline.empty();
     result.refused = result.inFlight && pipeline.front()->refused;
-    result.errorDue = errorDueAt != SteadyTime{} && now >= errorDueAt;
+    result.errorDue = errorWait(now) >= listener->limits.refusalDelay;
     result.lingering = lingering;
     result.receivedAny = receivedAny;
     result.hasUnreadBytes = hasUnreadBytes;
@@ -133,8 +133,6 @@
     bool anyAnswered = false;
     while (!pipeline.empty() && pipeline.front()->answered) {
         outgoing += pipeline.front()->reply;
-        if (pipeline.front()->refused)
-            errorDueAt = {};
         pipeline.pop_front();
         anyAnswered = true;
     }
@@ -144,10 +142,6 @@
     write();
 }
 
-void ServerConnection::onRefused() {
-    errorDueAt = steadyNow() + listener->limits.refusalDelay;
-}
-
 Exchange *ServerConnection::pendingRefusal() const {
     const auto found = std::ranges::find_if(
         pipeline, [](const auto &exchange) { return exchange->refused && !exchange->answered; });
@@ -162,7 +156,7 @@
 }
 
 bool ServerConnection::canAcceptCommand() const {
-    return errorDueAt == SteadyTime{} && pipeline.size() < listener->limits.pipelined &&
+    return !pendingRefusal() && pipeline.size() < listener->limits.pipelined &&
            outgoing.size() - writtenBytes < listener->limits.waitingBytes;
 }
 
@@ -262,17 +256,13 @@
 }
 
 void ServerConnection::sendDueError() {
-    errorDueAt = {};
-    const auto refused = std::ranges::find_if(
-        pipeline, [](const auto &exchange) { return exchange->refused && !exchange->answered; });
-    if (refused == pipeline.end())
+    Exchange *refusal = pendingRefusal();
+    if (!refusal)
         return;
-    (*refused)->answered = true;
+    refusal->answered = true;
     onAnswered();
-    if (!pipeline.empty() && errorDueAt == SteadyTime{}) {
-        read();
-        scheduleReadAhead();
-    }
+    read();
+    scheduleReadAhead();
 }
 
 void ServerConnection::write() {
@@ -331,7 +321,6 @@
     inputFaulty = false;
     discardedBytes = 0;
     lastActiveTime = steadyNow();
-    errorDueAt = {};
     asio::error_code ignored;
     stream.socket.shutdown(tcp::socket::shutdown_send, ignored);
     read();
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -21,8 +21,6 @@
     // Called by its Exchanges.
     /// Sends the replies at the front of the pipeline, after a command was answered.
     void onAnswered();
-    /// Schedules the delayed error of a refused command.
-    void onRefused();
     /// Returns false if the connection is closed, or if the peer has closed its side; in that case
     /// the connection is closed later, from the event loop.
     bool isPeerConnected();
@@ -44,7 +42,8 @@
     void sweep(SteadyTime now, bool underPressure);
 
   private:
-    /// The first refused command whose error is not sent yet, or null.
+    /// The refused command whose error is not sent yet, or null. There is at most one, the last of
+    /// the pipeline: no command is taken behind it until its error is due.
     Exchange *pendingRefusal() const;
     bool canAcceptCommand() const;
     void onReadable();
@@ -71,7 +70,6 @@
     SteadyTime lastActiveTime;
     SteadyTime commandStartTime{};   // when the current command's first byte was read
     SteadyTime lastWriteProgress{};  // when the socket last accepted bytes
-    SteadyTime errorDueAt{};         // of the refused command whose error is pending
     bool writing = false;            // waits until the socket is writable
     bool inputFaulty = false;        // invalid input was received; further input is discarded
     bool lingering = false;          // sending side shut down, waiting for the peer to close
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -139,6 +139,27 @@
     EXPECT_EQ(receivedCommandCount(), 2u);
 }
 
+// Guards against lost requests: the reply to an earlier command cleared the time at which a later
+// refused command's error was due, and nothing behind it was ever answered.
+TEST_F(Platform, CommandsBehindSeveralRefusedOnesAreAnswered) {
+    auto &target = endpoint([](std::size_t index, const std::vector<std::string> &arguments) {
+        return index == 0 ? Reply{""} : echo(index, arguments);
+    });
+    startGateway();
+    auto &connection = client();
+    connection.send(request("a") + request("b", "none") + request("c", "none") + request("d") +
+                    request("e"));
+    // The second command is refused once the first one's error is due, while "a" is in flight.
+    ASSERT_TRUE(until([&] { return gateway->counts().unrouted == 2; }));
+    ASSERT_EQ(receivedCommandCount(), 1u);
+    target.send(successReply("of a"));
+    const std::string error = "-ERR no such class\r\n";
+    const std::string expected =
+        resp::bulk("of a") + error + error + resp::bulk("of d") + resp::bulk("of e");
+    EXPECT_TRUE(until([&] { return connection.in.size() >= expected.size(); }, 3s));
+    EXPECT_EQ(connection.in, expected);
+}
+
 TEST_F(Platform, ADuplicateIdIsNotForwarded) {
     endpoint(echo);
     startGateway();
