Lend clients the places that connections to endpoints leave unused

Cause: sockets were divided once, 126 of 256 for clients and 106 for endpoints. The connections that may not be closed yet didn't fit into 126 while some 35 of the 106 were in use.

Change: at the limit the listener borrows up to half of what calls in flight leave unused; what is lent is taken off the endpoints' limit.

--- a/src/platform/downstream.hpp
+++ b/src/platform/downstream.hpp
@@ -26,6 +26,10 @@
     void applyLimits() override {}  // the limits are fixed for the life of the process
     void drain(std::function<void()> ended) override { listener.drain(std::move(ended)); }
     std::size_t connections() const override { return listener.connections(); }
+    /// See resp::Listener::borrowPlaces().
+    void borrowSockets(resp::Listener::PlaceLender lender) {
+        listener.borrowPlaces(std::move(lender));
+    }
     resp::ListenerStatistics listenerStatistics() const { return listener.statistics(); }
     const RequestIdRegistry &knownRequestIds() const { return *requestIds; }
 
--- a/src/platform/resource_limits.cpp
+++ b/src/platform/resource_limits.cpp
@@ -70,6 +70,17 @@
     return limits;
 }
 
+std::size_t clientConnectionLimit(const ResourceLimits &limits, std::size_t upstreamsInUse) {
+    const std::size_t unused =
+        limits.upstreamConnections - std::min(limits.upstreamConnections, upstreamsInUse);
+    return limits.clientConnections + unused / 2;
+}
+
+std::size_t upstreamConnectionLimit(const ResourceLimits &limits, std::size_t clients) {
+    const std::size_t lent = clients - std::min(clients, limits.clientConnections);
+    return limits.upstreamConnections - std::min(lent, limits.upstreamConnections);
+}
+
 resp::ListenerLimits listenerLimits(const ResourceLimits &limits) {
     resp::ListenerLimits listener;
     listener.connections = limits.clientConnections;
--- a/src/platform/resource_limits.hpp
+++ b/src/platform/resource_limits.hpp
@@ -8,6 +8,7 @@
 
 /// The resulting limits.
 struct ResourceLimits {
+    /// Clients may always hold this many; see also clientConnectionLimit().
     std::size_t clientConnections = 0;
     std::size_t upstreamConnections = 0;  ///< to endpoints, including probes
     /// For discovery, control service, signals, logs and connections being closed.
@@ -30,6 +31,14 @@
 ResourceLimits divideResources(std::size_t sockets, std::size_t memoryMb,
                                std::size_t maxRequestsInFlight, Duration keepAlive);
 
+/// How many connections clients may hold while calls to endpoints use `upstreamsInUse`: beyond
+/// their own share, half of what endpoints leave unused. The other half is kept for the requests
+/// that may come on these connections.
+std::size_t clientConnectionLimit(const ResourceLimits &limits, std::size_t upstreamsInUse);
+/// How many connections to endpoints may be open, in use and idle, while clients hold `clients`:
+/// what clients hold beyond their own share is taken from it.
+std::size_t upstreamConnectionLimit(const ResourceLimits &limits, std::size_t clients);
+
 /// Limits for the client listener.
 resp::ListenerLimits listenerLimits(const ResourceLimits &limits);
 /// Limits for parsing endpoints' replies.
--- a/src/platform/transport.cpp
+++ b/src/platform/transport.cpp
@@ -13,6 +13,10 @@
     auto created = std::make_unique<RespDownstream>(context, clock, configuration.listen, limits,
                                                     configuration.settings, std::move(handler));
     respDownstream = created.get();
+    // The gateway destroys the downstream before the pool.
+    created->borrowSockets(
+        [pool = upstreamPool](std::size_t open) { return pool->lendSocket(open); });
+    upstreamPool->observeClients([clients = respDownstream] { return clients->connections(); });
     return created;
 }
 
--- a/src/platform/transport.hpp
+++ b/src/platform/transport.hpp
@@ -28,7 +28,7 @@
 
     // Owned by the gateway that was created with this transport; null before.
     mutable PlatformControlPlaneClient *controlPlaneClient = nullptr;
-    mutable const RespUpstreamPool *upstreamPool = nullptr;
+    mutable RespUpstreamPool *upstreamPool = nullptr;
     mutable RespDownstream *respDownstream = nullptr;
 
   private:
--- a/src/platform/upstream_pool.cpp
+++ b/src/platform/upstream_pool.cpp
@@ -95,9 +95,7 @@
     auto connection = idle.take(endpoint, [&](EndpointConnection &candidate) {
         return reuseDecision(candidate, *current, now);
     });
-    if (!connection && connections() >= limits.upstreamConnections)
-        idle.dropOldest();
-    if (!connection && connections() >= limits.upstreamConnections)
+    if (!connection && !reduceBelow(connectionLimit()))
         return nullptr;
     if (!connection)
         connection = std::make_shared<EndpointConnection>(context, replyLimits(limits), *current);
@@ -105,6 +103,23 @@
     return connection;
 }
 
+bool RespUpstreamPool::reduceBelow(std::size_t limit) {
+    while (connections() >= limit && idle.size() > 0)
+        idle.dropOldest();
+    return connections() < limit;
+}
+
+std::size_t RespUpstreamPool::connectionLimit() const {
+    return upstreamConnectionLimit(limits, clientCount ? clientCount() : 0);
+}
+
+bool RespUpstreamPool::lendSocket(std::size_t openClientConnections) {
+    if (openClientConnections >= clientConnectionLimit(limits, connectionsInUse))
+        return false;
+    const std::size_t remaining = upstreamConnectionLimit(limits, openClientConnections + 1);
+    return reduceBelow(remaining + 1);
+}
+
 std::shared_ptr<UpstreamCall> RespUpstreamPool::createCall(const EndpointId &endpoint) {
     const auto connection = acquireConnection(endpoint);
     return connection ? std::make_shared<RespCall>(*this, endpoint, connection) : nullptr;
--- a/src/platform/upstream_pool.hpp
+++ b/src/platform/upstream_pool.hpp
@@ -28,6 +28,11 @@
     void closeExpired(Duration now) override { idle.sweep(now, limits.upstreamIdleTimeout); }
     Duration sweepInterval() const override { return limits.idleSweepInterval; }
     void probe(const EndpointId &endpoint, ProbeCallback done) override;
+    /// Makes room for one more connection of a client beyond the clients' share of the sockets, by
+    /// closing idle connections. False if endpoints need their share.
+    [[nodiscard]] bool lendSocket(std::size_t openClientConnections);
+    /// Tells how many connections clients hold. Without it, clients borrow nothing.
+    void observeClients(std::function<std::size_t()> count) { clientCount = std::move(count); }
     /// Number of open connections, in use and idle.
     [[nodiscard]] std::size_t connections() const { return connectionsInUse + idle.size(); }
 
@@ -50,6 +55,10 @@
     [[nodiscard]] IdlePool::Decision reuseDecision(EndpointConnection &connection,
                                                    const EndpointDirectory::Incarnation &current,
                                                    TimePoint now) const;
+    /// Closes the connection idle the longest while there are `limit` or more. False if all of the
+    /// remaining ones are in use.
+    bool reduceBelow(std::size_t limit);
+    [[nodiscard]] std::size_t connectionLimit() const;
     [[nodiscard]] bool isCurrent(const EndpointId &endpoint, const Connection &connection) const;
 
     asio::io_context &context;
@@ -59,6 +68,7 @@
     const simulator::DeploymentSettings &settings;
     IdlePool idle;
     std::size_t connectionsInUse = 0;
+    std::function<std::size_t()> clientCount;
     CallbackGuard callbacks;
 };
 
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -38,7 +38,7 @@
 
 void Listener::Core::acceptBacklog() {
     for (int accepted = 0; accepted < kMaxAcceptsPerTurn; ++accepted) {
-        if (openConnections.size() >= limits.connections && !evictOne()) {
+        if (!makePlace()) {
             noteAcceptWait();
             return retryLater();
         }
@@ -104,6 +104,11 @@
     return chosen;
 }
 
+bool Listener::Core::makePlace() {
+    const std::size_t open = openConnections.size();
+    return open < limits.connections || evictOne() || (lender && lender(open));
+}
+
 bool Listener::Core::evictOne() {
     const SteadyTime now = std::chrono::steady_clock::now();
     while (const auto connection = evictionCandidate(now)) {
@@ -139,6 +144,10 @@
     core->sweep();
 }
 
+void Listener::borrowPlaces(PlaceLender lender) {
+    core->lender = std::move(lender);
+}
+
 void Listener::open() {
     core->accept();
 }
@@ -148,6 +157,7 @@
     core->closed = true;
     core->onEmpty = nullptr;
     core->handler = [](const std::shared_ptr<Exchange> &) {};
+    core->lender = nullptr;
     asio::error_code ignored;
     core->acceptor.close(ignored);
     core->acceptRetryTimer.cancel();
--- a/src/resp/listener_core.hpp
+++ b/src/resp/listener_core.hpp
@@ -25,6 +25,8 @@
     void noteAcceptWait();
     /// Applies the timeouts of all connections, now and then periodically.
     void sweep();
+    /// Whether one more connection may be accepted; evicts another one at the limit.
+    bool makePlace();
     /// Closes the connection with the highest eviction priority; false if none can be evicted.
     bool evictOne();
     /// The connection to evict, or nullptr. Among equal priorities, the one idle for the longest.
@@ -44,6 +46,7 @@
     asio::ip::tcp::endpoint localAddress;
     ListenerLimits limits;
     Handler handler;
+    PlaceLender lender;
     asio::steady_timer acceptRetryTimer;
     asio::steady_timer sweepTimer;
     std::set<std::shared_ptr<ServerConnection>> openConnections;
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -60,6 +60,11 @@
     /// on the address.
     Listener(asio::io_context &context, const asio::ip::tcp::endpoint &address,
              const ListenerLimits &limits, Handler handler);
+    /// Asked at the connection limit, with the number of open connections, whether one more may be
+    /// accepted.
+    using PlaceLender = std::function<bool(std::size_t open)>;
+    /// Accepts connections beyond the limit as far as the lender allows, if none can be evicted.
+    void borrowPlaces(PlaceLender lender);
     /// Starts accepting. May be called once.
     void open();
     ~Listener();  // NOLINT(bugprone-exception-escape): see the definition
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -196,6 +196,26 @@
     })) << "silent connections are closed";
 }
 
+// Guards against lost requests: clients that asked once and stayed held all places at the listener,
+// while the places for connections to endpoints were unused.
+TEST_F(Platform, ClientsThatStayBorrowThePlacesThatEndpointsLeaveUnused) {
+    endpoint(echo);
+    startGateway();
+    // Come within the 2 s for which none of them may be closed.
+    constexpr std::size_t kClients = 12 + 2 * 64;
+    for (std::size_t index = 0; index < kClients; ++index) {
+        const std::string id = "r" + std::to_string(index);
+        auto &asksOnce = client();
+        asksOnce.send(request(id, "any", "600"));
+        // The client's time, the half second until an answer counts as lost, and the slack on
+        // sockets.
+        ASSERT_TRUE(until([&] { return isWholeReply(asksOnce.in); }, 600ms + 500ms + 50ms)) << id;
+        EXPECT_EQ(asksOnce.in, resp::bulk("of " + id));
+    }
+    const std::size_t upstreams = transport->upstreamPool->connections();
+    EXPECT_LE(gateway->connections() + upstreams, 256u - 24u) << "24 sockets are reserved";
+}
+
 // Guards against lost requests: clients that stopped in the middle of a command held all places at
 // the listener until the command's timeout, while complete requests waited in the backlog.
 TEST_F(Platform, ClientsThatStopInTheMiddleGiveWayToCompleteRequests) {
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -256,6 +256,25 @@
     EXPECT_EQ(shutdownPlan(1s).acceptDeadline, Duration{500ms}) << "while clients still connect";
 }
 
+// Guards against places that endpoints leave unused while clients wait in the backlog, and against
+// more sockets than the process may hold.
+TEST(PlatformResourceLimits, ClientsBorrowWhatEndpointsLeaveUnused) {
+    const ResourceLimits limits = divideResources(256, 32, 10, 15s);
+    const std::size_t available = limits.clientConnections + limits.upstreamConnections;
+    // Of the long day: clients of the last 2 s at 64 a second, and 12 that stay, while 25
+    // connections to endpoints are in use.
+    EXPECT_GE(clientConnectionLimit(limits, 25), 2 * 64u + 12);
+    EXPECT_EQ(clientConnectionLimit(limits, limits.upstreamConnections), limits.clientConnections);
+    for (std::size_t inUse = 0; inUse <= limits.upstreamConnections; ++inUse) {
+        const std::size_t clients = clientConnectionLimit(limits, inUse);
+        EXPECT_GE(upstreamConnectionLimit(limits, clients), inUse);
+        EXPECT_LE(clients + upstreamConnectionLimit(limits, clients), available);
+    }
+    EXPECT_EQ(upstreamConnectionLimit(limits, limits.clientConnections),
+              limits.upstreamConnections);
+    EXPECT_EQ(upstreamConnectionLimit(limits, available), 0u);
+}
+
 TEST(PlatformRequestIds, KeepsAnIdDuringTheRequestAndTheRetentionTime) {
     RequestIdRegistry ids(2s, 1000);
     EXPECT_TRUE(ids.add("a", 0s));
