Bound the bytes read ahead and the commands taken of one connection

Callers saw: while one client sent PING, SELECT or requests that are shed at once at full speed, the process grew by 3.6 MB a second past its 32 MB, took all of its core, and usual answers came late.

Cause: the bytes behind a command were set aside only after it was handled. A command that was answered at once found nothing read ahead, so the connection read 16 KiB more for each command taken.

Change: received bytes go to one queue (ByteQueue); a read takes what it has room for.

--- a/src/resp/connection_admission.hpp
+++ b/src/resp/connection_admission.hpp
@@ -18,9 +18,12 @@
     Limits message;
     /// Commands in flight of one connection; at the limit, parsing pauses until one is answered.
     std::size_t pipelined = 64;
-    /// Bytes read ahead while parsing is paused, so that a close by the peer is detected behind
-    /// them.
+    /// Bytes read ahead while parsing is paused; at the limit, reading pauses.
     std::size_t readAheadBytes = 16384;
+    /// Commands of one connection between two sweeps, 100 ms apart; at the limit, parsing pauses
+    /// until the next sweep. Commands that are answered at once would take up all CPU time
+    /// otherwise.
+    std::size_t commandsPerSweep = 128;
     /// Unsent bytes of replies; at the limit, parsing pauses until the peer reads them.
     std::size_t waitingBytes = 256 * 1024;
     /// Timeout from accepting a connection to its first byte.
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -15,9 +15,6 @@
 // connection closes; beyond it nothing more is read, and a lingering connection is closed. Without
 // it, a peer that never stops sending would take up CPU time forever.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
-// A write buffer over this size is freed when it is empty, so that idle connections do not keep the
-// memory of one long reply.
-constexpr std::size_t kKeptBufferBytes = 4096;
 
 SteadyTime steadyNow() {
     return std::chrono::steady_clock::now();
@@ -64,8 +61,8 @@
 }
 
 bool ServerConnection::checkUnreadBytes() {
-    hasUnreadBytes =
-        pipeline.empty() && !lingering && peekReadState(stream.socket) == ReadState::bytes;
+    hasUnreadBytes = pipeline.empty() && !lingering &&
+                     (!readAhead.empty() || peekReadState(stream.socket) == ReadState::bytes);
     return hasUnreadBytes;
 }
 
@@ -86,6 +83,8 @@
 }
 
 void ServerConnection::sweep(SteadyTime now, bool underPressure) {
+    commandsSinceSweep = 0;
+    scheduleReadAhead();
     switch (timeoutAction(state(now), listener->limits, underPressure)) {
     case TimeoutAction::none:
         return;
@@ -132,7 +131,7 @@
         return;
     bool anyAnswered = false;
     while (!pipeline.empty() && pipeline.front()->answered) {
-        outgoing += pipeline.front()->reply;
+        outgoing.append(pipeline.front()->reply);
         pipeline.pop_front();
         anyAnswered = true;
     }
@@ -157,34 +156,35 @@
 
 bool ServerConnection::canAcceptCommand() const {
     return !pendingRefusal() && pipeline.size() < listener->limits.pipelined &&
-           outgoing.size() - writtenBytes < listener->limits.waitingBytes;
+           outgoing.size() < listener->limits.waitingBytes &&
+           commandsSinceSweep < listener->limits.commandsPerSweep;
 }
 
 void ServerConnection::onReadable() {
     asio::error_code fault;
-    const auto size = stream.socket.read_some(asio::buffer(listener->readBuffer), fault);
+    const bool discard = lingering || inputFaulty;
+    const std::size_t capacity = discard
+                                     ? listener->readBuffer.size()
+                                     : std::min(listener->readBuffer.size(),
+                                                listener->limits.readAheadBytes - readAhead.size());
+    const auto size =
+        stream.socket.read_some(asio::buffer(listener->readBuffer.data(), capacity), fault);
     hasUnreadBytes = false;
     if (fault == asio::error::would_block)
         return read();
     if (fault)
         return onReadError(fault);
-    if (lingering || inputFaulty) {
+    if (discard) {
         discardedBytes += size;
         if (discardedBytes > kMaxDiscardedBytes && lingering)
             return close(CloseMode::graceful);
         return read();
     }
-    if (!readAhead.empty() || !canAcceptCommand()) {
-        readAhead.append(listener->readBuffer.data(), size);
-        scheduleReadAhead();
-        return read();
-    }
-    if (!receivedAny || pipeline.empty())
+    if (!receivedAny || (pipeline.empty() && readAhead.empty()))
         lastActiveTime = steadyNow();
     receivedAny = true;
-    const auto self = shared_from_this();
-    processInput({listener->readBuffer.data(), size});
-    read();
+    readAhead.append({listener->readBuffer.data(), size});
+    processReadAhead();
 }
 
 // A peer that has closed its sending side is treated as gone, unless it still gets a delayed error.
@@ -203,47 +203,43 @@
     return pipeline.back();
 }
 
-void ServerConnection::processInput(std::string_view bytes) {
-    while (!bytes.empty() && !stream.isClosed() && !inputFaulty) {
-        if (!canAcceptCommand()) {
-            readAhead.append(bytes);
-            return;
-        }
-        if (!parser.started())
-            commandStartTime = steadyNow();
-        bytes.remove_prefix(parser.feed(bytes));
-        if (parser.faulty())
-            return fail(parser.fault());
-        if (!parser.done())
-            continue;
-        const auto exchange = addExchange();
-        for (auto &item : parser.take().items)
-            exchange->args.push_back(std::move(*item));
-        // Copies the rest of the input, because the shared read buffer may be overwritten if the
-        // handler reenters this connection.
-        const std::string rest(bytes);
-        listener->handler(exchange);
-        if (rest.empty() || stream.isClosed() || inputFaulty)
-            return;
-        readAhead.insert(0, rest);
-        return scheduleReadAhead();
-    }
+void ServerConnection::processReadAhead() {
+    const auto self = shared_from_this();
+    if (mayProcessReadAhead())
+        takeCommand();
+    read();
+    scheduleReadAhead();
+}
+
+void ServerConnection::takeCommand() {
+    if (!parser.started())
+        commandStartTime = steadyNow();
+    readAhead.consume(parser.feed(readAhead.view()));
+    if (parser.faulty())
+        return fail(parser.fault());
+    if (!parser.done())
+        return;
+    ++commandsSinceSweep;
+    const auto exchange = addExchange();
+    for (auto &item : parser.take().items)
+        exchange->args.push_back(std::move(*item));
+    listener->handler(exchange);
+}
+
+bool ServerConnection::mayProcessReadAhead() const {
+    return !readAhead.empty() && !stream.isClosed() && !inputFaulty && !lingering &&
+           canAcceptCommand();
 }
 
 // Posted to the event loop, so that many pipelined commands neither recurse nor delay other
 // connections.
 void ServerConnection::scheduleReadAhead() {
-    if (readAheadScheduled || readAhead.empty() || stream.isClosed() || inputFaulty ||
-        !canAcceptCommand())
+    if (readAheadScheduled || !mayProcessReadAhead())
         return;
     readAheadScheduled = true;
     stream.post([self = shared_from_this()] {
         self->readAheadScheduled = false;
-        if (self->stream.isClosed() || self->inputFaulty || !self->canAcceptCommand())
-            return;
-        const std::string bytes = std::exchange(self->readAhead, {});
-        self->processInput(bytes);
-        self->read();
+        self->processReadAhead();
     });
 }
 
@@ -268,16 +264,23 @@
 void ServerConnection::write() {
     if (writing || stream.isClosed())
         return;
+    if (outgoing.empty())
+        return onAllWritten();
     asio::error_code fault;
-    const auto before = writtenBytes;
-    while (writtenBytes < outgoing.size() && !fault)
-        writtenBytes += stream.socket.write_some(
-            asio::buffer(outgoing.data() + writtenBytes, outgoing.size() - writtenBytes), fault);
+    std::size_t written = 0;
+    while (!outgoing.empty() && !fault) {
+        const std::string_view unsent = outgoing.view();
+        const auto size =
+            stream.socket.write_some(asio::buffer(unsent.data(), unsent.size()), fault);
+        outgoing.consume(size);
+        written += size;
+    }
     if (fault && fault != asio::error::would_block)
         return closeLater();
-    if (writtenBytes > before || before == 0)
+    if (written > 0 || !stalled)
         lastWriteProgress = steadyNow();
-    if (writtenBytes == outgoing.size())
+    stalled = !outgoing.empty();
+    if (!stalled)
         return onAllWritten();
     awaitWritable();
     read();
@@ -285,10 +288,6 @@
 }
 
 void ServerConnection::onAllWritten() {
-    outgoing.clear();
-    writtenBytes = 0;
-    if (outgoing.capacity() > kKeptBufferBytes)
-        outgoing.shrink_to_fit();
     if (pipeline.empty() && peerClosedSending)
         return close(CloseMode::graceful);
     if (pipeline.empty() && inputFaulty)
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -5,6 +5,7 @@
 
 #include <deque>
 
+#include "../base/byte_queue.hpp"
 #include "../net/stream_socket.hpp"
 #include "listener_core.hpp"
 
@@ -30,7 +31,7 @@
     ConnectionState state(SteadyTime now) const;
     SteadyTime lastActive() const { return lastActiveTime; }
     /// Bytes read ahead and bytes of replies that the socket has not accepted yet.
-    std::size_t bufferedBytes() const { return readAhead.size() + outgoing.size() - writtenBytes; }
+    std::size_t bufferedBytes() const { return readAhead.size() + outgoing.size(); }
     /// The time since a command was refused whose error is not sent yet; nullopt if there is none.
     std::optional<Duration> errorWait(SteadyTime now) const;
     /// Whether the socket holds unread bytes. Such a connection is not evicted as silent or idle.
@@ -48,7 +49,12 @@
     bool canAcceptCommand() const;
     void onReadable();
     void onReadError(asio::error_code fault);
-    void processInput(std::string_view bytes);
+    /// Takes one command from the bytes read ahead, and schedules the next one for a later turn of
+    /// the event loop, so that other connections are served between them.
+    void processReadAhead();
+    /// Parses up to the end of one command and passes it to the handler.
+    void takeCommand();
+    bool mayProcessReadAhead() const;
     std::shared_ptr<Exchange> addExchange();
     void scheduleReadAhead();
     void fail(const std::string &message);
@@ -63,14 +69,15 @@
     net::StreamSocket stream;
     Parser parser;
     std::deque<std::shared_ptr<Exchange>> pipeline;  // commands in flight, in order
-    std::string readAhead;                           // received while no command could be accepted
-    std::string outgoing;
-    std::size_t writtenBytes = 0;    // of outgoing
+    ByteQueue readAhead;                             // received and not parsed yet
+    ByteQueue outgoing;
+    std::size_t commandsSinceSweep = 0;
     std::size_t discardedBytes = 0;  // of the peer, after invalid input or while closing
     SteadyTime lastActiveTime;
     SteadyTime commandStartTime{};   // when the current command's first byte was read
     SteadyTime lastWriteProgress{};  // when the socket last accepted bytes
     bool writing = false;            // waits until the socket is writable
+    bool stalled = false;            // the socket did not accept all bytes of the last write
     bool inputFaulty = false;        // invalid input was received; further input is discarded
     bool lingering = false;          // sending side shut down, waiting for the peer to close
     bool receivedAny = false;        // bytes were read
--- a/tests/path/gateway_fixture.hpp
+++ b/tests/path/gateway_fixture.hpp
@@ -189,6 +189,11 @@
         asio::error_code ignored;
         asio::write(socket, asio::buffer(bytes), ignored);
     }
+    /// Sends as the server reads, while the test runs the loop.
+    void sendInBackground(std::string bytes) {
+        const auto kept = std::make_shared<std::string>(std::move(bytes));
+        asio::async_write(socket, asio::buffer(*kept), [kept](asio::error_code, std::size_t) {});
+    }
     void hangUp() {
         asio::error_code ignored;
         socket.close(ignored);
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -216,6 +216,63 @@
     EXPECT_LE(gateway->connections() + upstreams, 256u - 24u) << "24 sockets are reserved";
 }
 
+// Guards against memory that grows with the bytes sent: while one command was taken, more bytes
+// were read than it had, as long as commands were answered at once.
+TEST_F(Platform, AFloodOfCommandsHoldsABoundedNumberOfBytes) {
+    endpoint(echo);
+    startGateway();
+    constexpr std::size_t kFloodBytes = 2'000'000;
+    // Of each connection, the bytes read ahead and as many of replies.
+    const std::size_t bytesPerConnection = 2 * resp::ListenerLimits().readAheadBytes;
+    std::vector<std::string> shedRequests, unknownClasses;
+    for (int index = 0; index < 100; ++index) {
+        shedRequests.push_back(request("s" + std::to_string(index), "any", "1"));
+        unknownClasses.push_back(request("u" + std::to_string(index), "q" + std::to_string(index)));
+    }
+    const std::vector<std::vector<std::string>> floods{{resp::command({"PING"})},
+                                                       {resp::command({"SELECT", "0"})},
+                                                       {resp::command({"FLUSHALL"})},
+                                                       {request("same")},
+                                                       shedRequests,
+                                                       unknownClasses};
+    for (const auto &commands : floods) {
+        auto &flooding = client();
+        std::string bytes;
+        while (bytes.size() < kFloodBytes)
+            for (const std::string &command : commands)
+                bytes += command;
+        flooding.sendInBackground(bytes);
+        std::size_t mostBytes = 0;
+        EXPECT_FALSE(until(
+            [&] {
+                const auto held = transport->respDownstream->listenerStatistics().bufferedBytes;
+                mostBytes = std::max(mostBytes, held);
+                return held > bytesPerConnection * gateway->connections();
+            },
+            300ms))
+            << commands.front() << mostBytes;
+        flooding.hangUp();
+    }
+    EXPECT_EQ(sendAndAwaitReply("usual"), resp::bulk("of usual"));
+}
+
+// Guards against a client that takes up all CPU time: commands that are answered at once were taken
+// as fast as they came.
+TEST_F(Platform, CommandsThatAreAnsweredAtOnceAreTakenAtABoundedRate) {
+    startGateway();
+    const std::size_t perSweep = resp::ListenerLimits().commandsPerSweep;
+    const std::size_t sweeps = 4;
+    std::string pings;
+    for (std::size_t index = 0; index < (sweeps + 1) * perSweep; ++index)
+        pings += resp::command({"PING"});
+    auto &flooding = client();
+    const auto startedAt = std::chrono::steady_clock::now();
+    flooding.send(pings);
+    const std::string pong = "+PONG\r\n";
+    EXPECT_TRUE(until([&] { return flooding.in.size() == (sweeps + 1) * perSweep * pong.size(); }));
+    EXPECT_GT(std::chrono::steady_clock::now() - startedAt, (sweeps - 1) * 100ms);
+}
+
 // Guards against lost requests: clients that stopped in the middle of a command held all places at
 // the listener until the command's timeout, while complete requests waited in the backlog.
 TEST_F(Platform, ClientsThatStopInTheMiddleGiveWayToCompleteRequests) {
