See a client's close behind unread bytes before an attempt begins

Callers saw: requests were sent on up to 0.86 s after their client had closed its connection with much unread.

Cause: the look at the socket before an attempt peeked at its first byte, and found the unread bytes before the close.

Change: peerState() asks poll() for POLLRDHUP, for RESP2 and HTTP. With more than 16 KiB unread a close may not have been received; then the request is shed, or failed if an attempt may have run.

--- a/src/base/socket.cpp
+++ b/src/base/socket.cpp
@@ -1,11 +1,16 @@
 #include "socket.hpp"
 
+#include <poll.h>
+
 namespace deckcart {
 
 using asio::ip::tcp;
 
 constexpr int kBacklog = 1024;  // connections of a burst that can wait to be accepted
 
+// Any receive buffer has room for more than these, so that a close behind them has been received.
+constexpr std::size_t kMaxObservableBytes = 16 * 1024;
+
 void listenAt(tcp::acceptor &acceptor, const tcp::endpoint &address) {
     acceptor.open(address.protocol());
     acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -29,6 +34,17 @@
     return error == asio::error::would_block ? ReadState::nothing : ReadState::end;
 }
 
+PeerState peerState(tcp::socket &socket) {
+    pollfd entry{socket.native_handle(), POLLRDHUP, 0};
+    if (::poll(&entry, 1, 0) > 0)  // POLLERR and POLLHUP are reported, too
+        return PeerState::closed;
+    asio::error_code error;
+    const std::size_t unread = socket.available(error);
+    if (error)
+        return PeerState::closed;
+    return unread > kMaxObservableBytes ? PeerState::unknown : PeerState::connected;
+}
+
 void connectWithin(tcp::socket &socket, asio::steady_timer &timer, const tcp::endpoint &to,
                    Duration within, std::function<void(bool)> done) {
     timer.expires_after(within);
--- a/src/base/socket.hpp
+++ b/src/base/socket.hpp
@@ -27,6 +27,13 @@
 /// Checks a connected, non-blocking socket for unread bytes without consuming them.
 [[nodiscard]] ReadState peekReadState(asio::ip::tcp::socket &socket);
 
+/// Whether the peer of a connection is there. `unknown`: so many bytes are unread that a close may
+/// lie behind them without having been received.
+enum class PeerState { connected, closed, unknown };
+/// Checks a connected socket for a close by the peer, also behind unread bytes, without consuming
+/// them.
+[[nodiscard]] PeerState peerState(asio::ip::tcp::socket &socket);
+
 /// Connects within a time limit and sets the socket's options by configureSocket(). `done` may be
 /// called twice, the second time with false; its owner has to ignore calls that it no longer
 /// expects. `done` must keep the owner of the socket and the timer alive.
--- a/src/gateway/attempt_dispatcher.cpp
+++ b/src/gateway/attempt_dispatcher.cpp
@@ -62,8 +62,12 @@
     EndpointId endpoint = decision.endpoint;
     if (faults.sendsAfterDrain && !deps.endpoints.lastDraining().empty() && number == 0)
         endpoint = deps.endpoints.lastDraining();
+    const PeerState client =
+        request.answered ? PeerState::connected : request.downstream->clientState();
+    if (client == PeerState::unknown)
+        return refuseUnobservable(request, generation, decision.endpoint);
     // The client has closed the connection, and the event loop has not read the close yet.
-    if (!request.answered && !request.downstream->isClientConnected())
+    if (client == PeerState::closed)
         return endWithoutSending(request, generation, decision.endpoint, Outcome::obsolete, true);
     // The request has been answered, is bound to a response that is being streamed, or has passed
     // its deadline on the real clock.
@@ -106,6 +110,20 @@
                        generation);
 }
 
+// An attempt must not be sent for a client that has disconnected. A client that has sent more than
+// is read ahead can't be told from one that has disconnected behind it, so its request ends here.
+void AttemptDispatcher::refuseUnobservable(RequestContext &request, GatewayId generation,
+                                           const EndpointId &endpoint) {
+    const RequestId id = request.id;
+    if (std::ranges::any_of(request.attempts, &AttemptContext::mayHaveRun))
+        deps.requests.fail(request, false);
+    else
+        deps.requests.shed(request, deps.settings.rejectedRetryAfter);
+    endWithoutSending(request, generation, endpoint, Outcome::obsolete, true);
+    if (RequestContext *remaining = deps.requests.find(id))
+        deps.requests.removeIfFinished(*remaining);
+}
+
 // The last check before an attempt is written, since connecting may have taken some time.
 std::optional<Duration> AttemptDispatcher::timeLeftToSend(RequestId id) {
     const RequestContext *request = deps.requests.find(id);
@@ -113,7 +131,7 @@
         return std::nullopt;
     const TimePoint now = deps.clock.realTime();
     if (request->answered || now >= request->policyDeadline ||
-        !request->downstream->isClientConnected())
+        request->downstream->clientState() != PeerState::connected)
         return std::nullopt;
     return request->clientDeadline - now;
 }
--- a/src/gateway/attempt_dispatcher.hpp
+++ b/src/gateway/attempt_dispatcher.hpp
@@ -64,6 +64,8 @@
 
     void endWithoutSending(RequestContext &request, GatewayId generation,
                            const EndpointId &endpoint, Outcome outcome, bool requestEnded);
+    void refuseUnobservable(RequestContext &request, GatewayId generation,
+                            const EndpointId &endpoint);
     std::optional<Duration> timeLeftToSend(RequestId id);
     void onResponsePart(RequestContext &request, int attemptNumber, std::string_view part);
     void startStreaming(RequestContext &request, int attemptNumber);
--- a/src/gateway/http_request.hpp
+++ b/src/gateway/http_request.hpp
@@ -22,6 +22,9 @@
     HttpRequest &operator=(const HttpRequest &) = delete;
 
     bool isOpen() const override { return exchange->open(); }
+    PeerState clientState() const override {
+        return isOpen() ? exchange->peerState() : PeerState::closed;
+    }
     void respondShed(const std::string &requestId, Duration retryAfter) override;
     void respondError(const std::string &requestId, bool late) override;
     void respond(UpstreamCall &upstreamCall, std::string_view responseBody) override;
--- a/src/gateway/request_context.hpp
+++ b/src/gateway/request_context.hpp
@@ -25,6 +25,14 @@
     bool streaming = false;  ///< The response is being streamed to the client.
     Outcome outcome = Outcome::ok;
     std::string bufferedResponse;  ///< Response data not yet passed on to the client.
+
+    /// Whether the endpoint may have executed the request.
+    bool mayHaveRun() const {
+        if (!ended)
+            return call->startedSending();
+        return outcome != Outcome::connectFailed && outcome != Outcome::overloaded &&
+               outcome != Outcome::obsolete;
+    }
 };
 
 /// State of a request, kept from its acceptance until it has been answered and none of its
--- a/src/gateway/transport.hpp
+++ b/src/gateway/transport.hpp
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "../base/socket.hpp"
 #include "../control_plane/control_plane_client.hpp"
 
 namespace deckcart {
@@ -37,8 +38,9 @@
 
     /// Whether the client is connected and the final response is not finished.
     virtual bool isOpen() const = 0;
-    /// Like isOpen(), but also checks the client's socket for a close that has not been read yet.
-    virtual bool isClientConnected() const { return isOpen(); }
+    /// Checks the client's socket for a close that has not been read yet. `closed` if the request
+    /// is not open either.
+    virtual PeerState clientState() const = 0;
     /// Called before an attempt is sent: from now on, an endpoint may see the request's id.
     virtual void onAttemptStart() {}
     /// Rejects the request. `requestId` is the request id that is returned to the client.
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -13,6 +13,11 @@
     return !ended && !connection.expired();
 }
 
+PeerState Exchange::peerState() const {
+    const auto server = connection.lock();
+    return server ? server->checkPeer() : PeerState::closed;
+}
+
 void Exchange::answer(ResponseHead response, std::string_view text) {
     const auto server = connection.lock();
     if (started)
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -9,6 +9,7 @@
 #include <set>
 
 #include "../base/clock.hpp"
+#include "../base/socket.hpp"
 #include "parser.hpp"
 
 namespace deckcart::http {
@@ -44,6 +45,9 @@
 
     /// Whether the peer is connected and the response has not ended.
     bool open() const;
+    /// Checks the socket for a close by the peer that was not read yet. If there is one, onGone is
+    /// called from the event loop.
+    PeerState peerState() const;
     /// Whether the response has started.
     bool answered() const { return started; }
     /// Sends a whole response.
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -50,6 +50,15 @@
     return sendQueue.size() + (writing ? sendBuffer.size() : 0);
 }
 
+PeerState ServerConnection::checkPeer() {
+    if (stream.isClosed())
+        return PeerState::closed;
+    const PeerState peer = peerState(stream.socket);
+    if (peer == PeerState::closed)
+        closeLater();
+    return peer;
+}
+
 void ServerConnection::onResponseEnd(bool closeAfter) {
     closing = closing || closeAfter;
     currentExchange.reset();
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -20,6 +20,9 @@
     void write(std::string_view bytes);
     /// Number of written bytes that the socket has not accepted yet.
     std::size_t pendingBytes() const;
+    /// Whether the peer is there. If it has closed its side, the connection is closed later, from
+    /// the event loop.
+    PeerState checkPeer();
     /// Reports that the current response has been written completely.
     void onResponseEnd(bool closeAfter);
     /// Whether the connection closes after the response to this request.
--- a/src/platform/downstream.cpp
+++ b/src/platform/downstream.cpp
@@ -25,7 +25,9 @@
     RespRequest &operator=(const RespRequest &) = delete;
 
     bool isOpen() const override { return exchange->open(); }
-    bool isClientConnected() const override { return isOpen() && exchange->peerThere(); }
+    PeerState clientState() const override {
+        return isOpen() ? exchange->peerState() : PeerState::closed;
+    }
     void onAttemptStart() override { forwarded = true; }
     void respondShed(const std::string &, Duration retryAfter) override {
         const auto retryAfterMs = retryAfter.count() / 1000;
--- a/src/resp/exchange.cpp
+++ b/src/resp/exchange.cpp
@@ -12,9 +12,9 @@
         server->onAnswered();
 }
 
-bool Exchange::peerThere() const {
+PeerState Exchange::peerState() const {
     const auto server = connection.lock();
-    return server && server->isPeerConnected();
+    return server ? server->checkPeer() : PeerState::closed;
 }
 
 void Exchange::refuse(std::string_view message) {
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 
+#include "../base/socket.hpp"
 #include "connection_admission.hpp"
 
 namespace deckcart::resp {
@@ -32,9 +33,9 @@
 
     /// Whether the peer is connected and no reply was given.
     bool open() const { return !answered && !connection.expired(); }
-    /// Checks the socket for a close by the peer that was not read yet. Returns false if there is
-    /// one; onGone is then called from the event loop.
-    bool peerThere() const;
+    /// Checks the socket for a close by the peer that was not read yet. If there is one, onGone is
+    /// called from the event loop.
+    PeerState peerState() const;
     /// Sends a serialized reply.
     void answer(std::string bytes);
     /// Refuses the command: sends an error after `refusalDelay` of the limits. No further command
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -66,11 +66,13 @@
     return hasUnreadBytes;
 }
 
-bool ServerConnection::isPeerConnected() {
-    if (stream.isClosed() || peekReadState(stream.socket) != ReadState::end)
-        return !stream.isClosed();
-    closeLater();
-    return false;
+PeerState ServerConnection::checkPeer() {
+    if (stream.isClosed())
+        return PeerState::closed;
+    const PeerState peer = peerState(stream.socket);
+    if (peer == PeerState::closed)
+        closeLater();
+    return peer;
 }
 
 void ServerConnection::drain() {
@@ -84,6 +86,9 @@
 
 void ServerConnection::sweep(SteadyTime now, bool underPressure) {
     commandsSinceSweep = 0;
+    const bool readingPaused = !stream.isAwaitingRead() && !peerClosedSending;
+    if (readingPaused && peerState(stream.socket) == PeerState::closed)
+        return onPeerClosed();
     scheduleReadAhead();
     switch (timeoutAction(state(now), listener->limits, underPressure)) {
     case TimeoutAction::none:
@@ -187,16 +192,23 @@
     processReadAhead();
 }
 
-// A peer that has closed its sending side is treated as gone, unless it still gets a delayed error.
 void ServerConnection::onReadError(asio::error_code fault) {
-    const bool errorPending =
-        !pipeline.empty() && pipeline.front()->refused && !pipeline.front()->answered;
-    if (fault == asio::error::eof && errorPending)
-        peerClosedSending = true;
+    if (fault == asio::error::eof)
+        onPeerClosed();
     else
         close(CloseMode::graceful);
 }
 
+// A peer that has closed its sending side is treated as gone, unless it still gets a delayed error.
+// What it sent and was not taken yet is dropped.
+void ServerConnection::onPeerClosed() {
+    const bool errorPending = !pipeline.empty() && pipeline.front()->refused;
+    if (!errorPending)
+        return close(CloseMode::graceful);
+    peerClosedSending = true;
+    readAhead.clear();
+}
+
 std::shared_ptr<Exchange> ServerConnection::addExchange() {
     pipeline.push_back(std::make_shared<Exchange>());
     pipeline.back()->connection = weak_from_this();
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -22,9 +22,9 @@
     // Called by its Exchanges.
     /// Sends the replies at the front of the pipeline, after a command was answered.
     void onAnswered();
-    /// Returns false if the connection is closed, or if the peer has closed its side; in that case
-    /// the connection is closed later, from the event loop.
-    bool isPeerConnected();
+    /// Whether the peer is there. If it has closed its side, the connection is closed later, from
+    /// the event loop.
+    PeerState checkPeer();
     void close(net::CloseMode how);
 
     // Called by the listener.
@@ -49,6 +49,7 @@
     bool canAcceptCommand() const;
     void onReadable();
     void onReadError(asio::error_code fault);
+    void onPeerClosed();
     /// Takes one command from the bytes read ahead, and schedules the next one for a later turn of
     /// the event loop, so that other connections are served between them.
     void processReadAhead();
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the platform's protocols with a gateway on loopback, scripted endpoints and a fake of
 // the discovery and control services.
+#include <set>
+
 #include "platform_fixture.hpp"
 
 namespace deckcart::test {
@@ -273,6 +275,53 @@
     EXPECT_GT(std::chrono::steady_clock::now() - startedAt, (sweeps - 1) * 100ms);
 }
 
+// Guards against requests sent on after their client has left: its close was not seen behind more
+// unread bytes than are read ahead.
+TEST_F(Platform, NoAttemptBeginsAfterACloseBehindUnreadBytes) {
+    endpoint(neverAnswer);
+    endpoint(neverAnswer);
+    startGateway();
+    auto &leaving = client();
+    std::string commands;
+    for (int index = 0; commands.size() < 40'000; ++index)
+        commands += request("r" + std::to_string(index));
+    leaving.send(commands);
+    // The first request is in flight, so that reading pauses.
+    ASSERT_TRUE(until([&] {
+        return transport->respDownstream->listenerStatistics().bufferedBytes >=
+               resp::ListenerLimits().readAheadBytes;
+    }));
+    ASSERT_TRUE(until([&] { return receivedCommandCount() > 0; }));
+    leaving.hangUp();
+    for (auto &each : endpoints)
+        if (!each.commands.empty())
+            each.sendOnFirst("-BUSY\r\n");  // without the close, it would be sent to the other one
+    EXPECT_TRUE(
+        until([&] { return gateway->connections() == 0 && gateway->requestsInFlight() == 0; }, 2s));
+    // First attempts that were written before the close may still have arrived.
+    std::set<std::string> ids;
+    for (const auto &each : endpoints)
+        for (const auto &command : each.commands)
+            EXPECT_TRUE(ids.insert(command[2]).second) << "sent again: " << command[2];
+}
+
+// A client that keeps sending more than is read ahead can't be told from one that has left behind
+// its bytes: its requests get an answer at once and are not sent on.
+TEST_F(Platform, RequestsOfAClientWhoseCloseCouldNotBeSeenAreRefused) {
+    endpoint(echo);
+    startGateway();
+    auto &connection = client();
+    std::string commands;
+    for (int index = 0; commands.size() < 100'000; ++index)
+        commands += request("r" + std::to_string(index));
+    connection.sendInBackground(commands);
+    ASSERT_TRUE(until([&] { return !connection.in.empty(); }));
+    EXPECT_TRUE(connection.in.starts_with("-BUSY")) << connection.in.substr(0, 40);
+    EXPECT_TRUE(until([&] { return connection.in.find("$") != std::string::npos; }))
+        << "once the rest has been read, requests are served";
+    EXPECT_EQ(sendAndAwaitReply("usual"), resp::bulk("of usual"));
+}
+
 // Guards against lost requests: clients that stopped in the middle of a command held all places at
 // the listener until the command's timeout, while complete requests waited in the backlog.
 TEST_F(Platform, ClientsThatStopInTheMiddleGiveWayToCompleteRequests) {
