Bound the bytes of commands held for all clients together

Callers saw: with hundreds of clients that stopped half way through a large request or wrote slowly, the process passed its 32 MB.

Cause: commands were bounded for each connection only; 513 places of 128 KiB are twice the memory. Idle connections to endpoints kept their last command.

Change: the listener counts the bytes of commands it holds. At an eighth of the memory, reading pauses on connections that hold 4 KiB or more, and the largest of those incomplete for 100 ms are closed. counts has commandBytes.

Platform.IncompleteCommandsHoldABoundedNumberOfBytesInAll passes.

--- a/src/platform/resource_limits.cpp
+++ b/src/platform/resource_limits.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t kValueMemoryDivisor = 64;
 constexpr std::size_t kBodyMemoryDivisor = 256;
 
+// All commands together. A command in flight is held twice, here and for its endpoint.
+constexpr std::size_t kCommandMemoryDivisor = 8;
+
 // What a reply holds besides its value: its load report, or the text of an error.
 constexpr std::size_t kReplyOverheadBytes = 4096;
 constexpr std::size_t kMaxReplyLineBytes = 512;
@@ -61,6 +64,7 @@
     limits.valueBytes =
         std::clamp(memoryBytes / kValueMemoryDivisor, kMinValueBytes, kMaxValueBytes);
     limits.bodyBytes = std::clamp(memoryBytes / kBodyMemoryDivisor, kMinValueBytes, kMaxValueBytes);
+    limits.commandBytes = memoryBytes / kCommandMemoryDivisor;
     // An endpoint closes an idle connection after its keep-alive time at the latest; a request
     // written at that moment would be lost.
     limits.upstreamIdleTimeout = keepAlive / 2;
@@ -84,6 +88,7 @@
 resp::ListenerLimits listenerLimits(const ResourceLimits &limits) {
     resp::ListenerLimits listener;
     listener.connections = limits.clientConnections;
+    listener.commandBytes = limits.commandBytes;
     listener.message.bulkBytes = limits.bodyBytes;
     listener.message.totalBytes = limits.bodyBytes + 2 * kMaxArgumentBytes;
     return listener;
--- a/src/platform/resource_limits.hpp
+++ b/src/platform/resource_limits.hpp
@@ -16,6 +16,7 @@
     std::size_t maxRequestsInFlight = 0;
     std::size_t endedRequestIds = 0;  ///< ids kept of requests that have ended
     std::size_t valueBytes = 0;       ///< maximum size of the value in an endpoint's reply
+    std::size_t commandBytes = 0;     ///< of the clients' commands, all together
     std::size_t bodyBytes = 0;        ///< maximum size of the body of a client's command
     Duration upstreamIdleTimeout{};   ///< how long an idle connection to an endpoint is kept
     Duration idleSweepInterval{};     ///< how often idle connections are checked
--- a/src/platform/service.cpp
+++ b/src/platform/service.cpp
@@ -133,6 +133,7 @@
         fields["clientBufferBytes"] = listener.bufferedBytes;
         fields["pendingErrors"] = listener.pendingErrors;
         fields["longestErrorWaitMs"] = milliseconds(listener.longestErrorWait);
+        fields["commandBytes"] = listener.commandBytes;
         fields["evictions"] = listener.evictions;
         fields["longestAcceptWaitMs"] = milliseconds(listener.longestAcceptWait);
     }
--- a/src/resp/client.cpp
+++ b/src/resp/client.cpp
@@ -112,6 +112,8 @@
     buildCommand = nullptr;
     if (outcome != CallEnd::complete || mustClose || !startedSending())
         close();
+    else
+        outgoing = {};  // an idle connection keeps no command
     if (notify)
         notify(outcome, std::move(value));
 }
--- a/src/resp/connection_admission.cpp
+++ b/src/resp/connection_admission.cpp
@@ -22,10 +22,15 @@
     if (!connection.receivedAny)
         return connection.idleTime >= limits.silentGrace ? kSilent : kNever;
     if (connection.commandStarted)
-        return connection.commandAge >= limits.incompleteCommandGrace ? kIncomplete : kNever;
+        return isIncompleteTooLong(connection, limits) ? kIncomplete : kNever;
     return connection.idleTime > limits.idleTimeoutUnderPressure ? kIdle : kNever;
 }
 
+bool isIncompleteTooLong(const ConnectionState &connection, const ListenerLimits &limits) {
+    return !connection.inFlight && connection.commandStarted &&
+           connection.commandAge >= limits.incompleteCommandGrace;
+}
+
 bool endsInDrain(const ConnectionState &connection, const ListenerLimits &limits) {
     if (connection.lingering || connection.inFlight || connection.commandStarted ||
         connection.writing)
--- a/src/resp/connection_admission.hpp
+++ b/src/resp/connection_admission.hpp
@@ -20,6 +20,12 @@
     std::size_t pipelined = 64;
     /// Bytes read ahead while parsing is paused; at the limit, reading pauses.
     std::size_t readAheadBytes = 16384;
+    /// Bytes of commands held for all connections together: read ahead, read in part and in flight.
+    /// At the limit, reading pauses on connections that hold `commandAllowance` or more, and
+    /// connections that hold an incomplete command are closed after `incompleteCommandGrace`.
+    std::size_t commandBytes = 16 * 1024 * 1024;
+    /// Bytes of commands that each connection may always hold; a usual command has fewer.
+    std::size_t commandAllowance = 4096;
     /// Commands of one connection between two sweeps, 100 ms apart; at the limit, parsing pauses
     /// until the next sweep. Commands that are answered at once would take up all CPU time
     /// otherwise.
@@ -30,9 +36,9 @@
     Duration firstByteTimeout = std::chrono::milliseconds(1500);
     /// Timeout from a command's first byte to its last, while there are free places.
     Duration commandTimeout = std::chrono::milliseconds(1500);
-    /// At the connection limit, a connection may be evicted this long after its command's first
-    /// byte if the last one has not come. Clients send a command at once; those of its bytes that
-    /// were sent and not read yet protect the connection.
+    /// At the connection limit or the limit of bytes, a connection may be evicted this long after
+    /// its command's first byte if the last one has not come. Clients send a command at once; those
+    /// of its bytes that were sent and not read yet protect the connection.
     Duration incompleteCommandGrace = std::chrono::milliseconds(100);
     /// The same for a new connection that has sent nothing, from its accepting.
     Duration silentGrace = std::chrono::milliseconds(20);
@@ -74,6 +80,10 @@
 /// Priority for eviction: connections with a higher value are evicted first, those with 0 never.
 int evictionPriority(const ConnectionState &connection, const ListenerLimits &limits);
 
+/// Whether an incomplete command may be given up for others: its connection has no command in
+/// flight and its first byte came longer ago than `incompleteCommandGrace`.
+bool isIncompleteTooLong(const ConnectionState &connection, const ListenerLimits &limits);
+
 /// Action for an expired timeout: send the delayed error, reset, close gracefully, close after the
 /// peer has had time to read the last reply, or send an error for an incomplete command.
 enum class TimeoutAction { none, sendError, reset, close, linger, failIncomplete };
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <functional>
+
 #include "../base/socket.hpp"
 #include "server_connection.hpp"
 
@@ -121,10 +124,28 @@
     return false;
 }
 
+void Listener::Core::evictIncompleteCommands(SteadyTime now) {
+    if (commandBytes < limits.commandBytes)
+        return;
+    std::vector<std::shared_ptr<ServerConnection>> incomplete;
+    for (const auto &connection : openConnections)
+        if (isIncompleteTooLong(connection->state(now), limits))
+            incomplete.push_back(connection);
+    std::ranges::sort(incomplete, std::greater{},
+                      [](const auto &connection) { return connection->commandBytes(); });
+    for (const auto &connection : incomplete) {
+        if (commandBytes < limits.commandBytes / 2)
+            return;
+        connection->close(net::CloseMode::graceful);
+        ++evictions;
+    }
+}
+
 void Listener::Core::sweep() {
     if (closed)
         return;
     const SteadyTime now = std::chrono::steady_clock::now();
+    evictIncompleteCommands(now);
     const bool underPressure = isUnderPressure(openConnections.size(), limits);
     forEachConnection([&](ServerConnection &connection) {
         connection.sweep(now, underPressure);
@@ -177,6 +198,7 @@
 ListenerStatistics Listener::statistics() const {
     ListenerStatistics result;
     result.evictions = core->evictions;
+    result.commandBytes = core->commandBytes;
     result.longestAcceptWait = core->longestAcceptWait;
     const SteadyTime now = std::chrono::steady_clock::now();
     for (const auto &connection : core->openConnections) {
--- a/src/resp/listener_core.hpp
+++ b/src/resp/listener_core.hpp
@@ -29,6 +29,9 @@
     bool makePlace();
     /// Closes the connection with the highest eviction priority; false if none can be evicted.
     bool evictOne();
+    /// At the limit of command bytes, closes connections whose command stays incomplete, those that
+    /// hold the most first, until half of the limit is free.
+    void evictIncompleteCommands(SteadyTime now);
     /// The connection to evict, or nullptr. Among equal priorities, the one idle for the longest.
     std::shared_ptr<ServerConnection> evictionCandidate(SteadyTime now) const;
     /// Called after a connection or the acceptor was closed; ends the drain when all are closed.
@@ -53,6 +56,7 @@
     std::optional<SteadyTime> acceptWaitingSince;  // at the connection limit
     Duration longestAcceptWait{};
     std::uint64_t evictions = 0;
+    std::size_t commandBytes = 0;  // held by all connections
     bool draining = false;
     bool closed = false;
     std::function<void()> onEmpty;
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -18,6 +18,7 @@
 struct ListenerStatistics {
     std::size_t incompleteCommands = 0;  ///< connections of which a command was read in part
     std::size_t bufferedBytes = 0;       ///< read ahead, and of replies that are not sent yet
+    std::size_t commandBytes = 0;        ///< of commands read ahead, read in part and in flight
     std::size_t pendingErrors = 0;       ///< refused commands whose error is not sent yet
     Duration longestErrorWait{};         ///< of these, the longest time since the refusal
     std::uint64_t evictions = 0;         ///< connections closed in favor of new ones
@@ -48,6 +49,7 @@
     friend class ServerConnection;
     std::weak_ptr<ServerConnection> connection;
     std::string reply;
+    std::size_t commandBytes = 0;  // of args, as received
     bool answered = false;
     bool refused = false;
     SteadyTime refusedAt{};
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -31,8 +31,8 @@
 void ServerConnection::read() {
     // Reads also while no command can be accepted, since a close is visible only behind the bytes
     // before it.
-    if (stream.isClosed() || stream.isAwaitingRead() || peerClosedSending ||
-        readAhead.size() >= listener->limits.readAheadBytes || discardedBytes > kMaxDiscardedBytes)
+    if (stream.isClosed() || stream.isAwaitingRead() || peerClosedSending || readCapacity() == 0 ||
+        discardedBytes > kMaxDiscardedBytes)
         return;
     stream.awaitRead([self = shared_from_this()](asio::error_code fault) {
         if (fault)
@@ -89,6 +89,7 @@
     const bool readingPaused = !stream.isAwaitingRead() && !peerClosedSending;
     if (readingPaused && peerState(stream.socket) == PeerState::closed)
         return onPeerClosed();
+    read();
     scheduleReadAhead();
     switch (timeoutAction(state(now), listener->limits, underPressure)) {
     case TimeoutAction::none:
@@ -105,7 +106,7 @@
             linger();
         return;
     case TimeoutAction::failIncomplete:
-        if (peekReadState(stream.socket) != ReadState::bytes)
+        if (readCapacity() == 0 || peekReadState(stream.socket) != ReadState::bytes)
             fail("the command is not complete in time");
         return;
     }
@@ -115,6 +116,7 @@
     if (!stream.close(how))
         return;
     const auto self = shared_from_this();
+    countCommandBytes();
     listener->openConnections.erase(self);
     listener->onClosed();
     for (const auto &exchange : std::exchange(pipeline, {})) {
@@ -137,12 +139,14 @@
     bool anyAnswered = false;
     while (!pipeline.empty() && pipeline.front()->answered) {
         outgoing.append(pipeline.front()->reply);
+        inFlightBytes -= pipeline.front()->commandBytes;
         pipeline.pop_front();
         anyAnswered = true;
     }
     if (!anyAnswered)
         return;
     lastActiveTime = steadyNow();
+    countCommandBytes();
     write();
 }
 
@@ -165,13 +169,34 @@
            commandsSinceSweep < listener->limits.commandsPerSweep;
 }
 
+std::size_t ServerConnection::readCapacity() const {
+    const ListenerLimits &limits = listener->limits;
+    const std::size_t bufferSize = listener->readBuffer.size();
+    if (lingering || inputFaulty)
+        return bufferSize;
+    const auto left = [](std::size_t limit, std::size_t used) {
+        return limit - std::min(limit, used);
+    };
+    const std::size_t capacity =
+        std::min(bufferSize, left(limits.readAheadBytes, readAhead.size()));
+    if (listener->commandBytes < limits.commandBytes)
+        return capacity;
+    return std::min(capacity, left(limits.commandAllowance, countedBytes));
+}
+
+void ServerConnection::countCommandBytes() {
+    const std::size_t held =
+        stream.isClosed() ? 0 : inFlightBytes + readAhead.size() + parser.bufferedBytes();
+    listener->commandBytes += held - countedBytes;
+    countedBytes = held;
+}
+
 void ServerConnection::onReadable() {
     asio::error_code fault;
     const bool discard = lingering || inputFaulty;
-    const std::size_t capacity = discard
-                                     ? listener->readBuffer.size()
-                                     : std::min(listener->readBuffer.size(),
-                                                listener->limits.readAheadBytes - readAhead.size());
+    const std::size_t capacity = readCapacity();
+    if (capacity == 0)  // others have used up the limit of all since the wait began
+        return;
     const auto size =
         stream.socket.read_some(asio::buffer(listener->readBuffer.data(), capacity), fault);
     hasUnreadBytes = false;
@@ -219,6 +244,7 @@
     const auto self = shared_from_this();
     if (mayProcessReadAhead())
         takeCommand();
+    countCommandBytes();
     read();
     scheduleReadAhead();
 }
@@ -233,6 +259,8 @@
         return;
     ++commandsSinceSweep;
     const auto exchange = addExchange();
+    exchange->commandBytes = parser.bufferedBytes();
+    inFlightBytes += exchange->commandBytes;
     for (auto &item : parser.take().items)
         exchange->args.push_back(std::move(*item));
     listener->handler(exchange);
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -36,6 +36,8 @@
     std::optional<Duration> errorWait(SteadyTime now) const;
     /// Whether the socket holds unread bytes. Such a connection is not evicted as silent or idle.
     bool checkUnreadBytes();
+    /// Bytes of commands held: read ahead, read in part and in flight.
+    std::size_t commandBytes() const { return countedBytes; }
     /// Closes the connection unless a command is in flight, read in part or unread; such commands
     /// are answered first.
     void drain();
@@ -57,6 +59,10 @@
     void takeCommand();
     bool mayProcessReadAhead() const;
     std::shared_ptr<Exchange> addExchange();
+    /// The most bytes that may be read now, within the limits of this connection and of all.
+    std::size_t readCapacity() const;
+    /// Counts the bytes of commands that are held now.
+    void countCommandBytes();
     void scheduleReadAhead();
     void fail(const std::string &message);
     void sendDueError();
@@ -72,6 +78,8 @@
     std::deque<std::shared_ptr<Exchange>> pipeline;  // commands in flight, in order
     ByteQueue readAhead;                             // received and not parsed yet
     ByteQueue outgoing;
+    std::size_t inFlightBytes = 0;  // of the commands in the pipeline
+    std::size_t countedBytes = 0;   // of commands, as counted for the listener
     std::size_t commandsSinceSweep = 0;
     std::size_t discardedBytes = 0;  // of the peer, after invalid input or while closing
     SteadyTime lastActiveTime;
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -218,6 +218,44 @@
     EXPECT_LE(gateway->connections() + upstreams, 256u - 24u) << "24 sockets are reserved";
 }
 
+// Guards against memory that grows with the number of clients: each could hold a large command that
+// is not complete.
+TEST_F(Platform, IncompleteCommandsHoldABoundedNumberOfBytesInAll) {
+    endpoint(echo);
+    startGateway(1024);
+    constexpr std::size_t kClients = 150;
+    const std::string half =
+        "*5\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=any,d=500\r\n$131000\r\n" +
+        std::string(100'000, 'x');
+    for (std::size_t index = 0; index < kClients; ++index)
+        client().sendInBackground(half);
+    // An eighth of 32 MiB, each client's allowance, and the one read that reaches the limit.
+    const std::size_t bound = 4'194'304 + kClients * 4096 + 16'384;
+    const auto &downstream = *transport->respDownstream;
+    std::size_t usualAnswers = 0;
+    bool usualPending = false;
+    auto &usual = client();
+    EXPECT_FALSE(until(
+        [&] {
+            const std::string id = "u" + std::to_string(usualAnswers);
+            if (!std::exchange(usualPending, true))
+                usual.send(request(id));
+            if (usual.in == resp::bulk("of " + id)) {
+                usual.in.clear();
+                usualPending = false;
+                ++usualAnswers;
+            }
+            return downstream.listenerStatistics().commandBytes > bound;
+        },
+        2900ms));
+    EXPECT_GE(usualAnswers, 10u);
+    const auto answeredOrClosed =
+        std::count_if(clients.begin(), clients.begin() + kClients,
+                      [](const auto &each) { return each.closed || each.in.starts_with("-ERR "); });
+    EXPECT_EQ(std::size_t(answeredOrClosed), kClients)
+        << "bad clients are owed an error or a close within 3 s of connecting";
+}
+
 // Guards against memory that grows with the bytes sent: while one command was taken, more bytes
 // were read than it had, as long as commands were answered at once.
 TEST_F(Platform, AFloodOfCommandsHoldsABoundedNumberOfBytes) {
--- a/tests/path/program_test.cpp
+++ b/tests/path/program_test.cpp
@@ -30,10 +30,10 @@
         std::filesystem::remove_all(directory);
         Platform::TearDown();
     }
-    void launch(const std::string &listen = "127.0.0.1:0") {
+    void launch(const std::string &listen = "127.0.0.1:0", std::size_t sockets = 256) {
         char pathTemplate[] = "/tmp/deckcart-XXXXXX";
         directory = mkdtemp(pathTemplate);
-        json configurationDocument = document(256);
+        json configurationDocument = document(sockets);
         configurationDocument["listen"] = listen;
         std::ofstream(directory + "/config.json") << configurationDocument.dump();
         const std::string log = directory + "/log",
@@ -65,6 +65,15 @@
         ADD_FAILURE() << "expected an event " << event << " in the log, saw: " << readLog();
         return 0;
     }
+    // The most memory that the process has had, in KiB.
+    std::size_t peakMemoryKb() const {
+        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        for (std::string line; std::getline(status, line);)
+            if (line.starts_with("VmHWM:"))
+                return std::stoul(line.substr(6));
+        ADD_FAILURE() << "no VmHWM";
+        return 0;
+    }
     static std::int64_t unixMs() {
         return std::chrono::duration_cast<std::chrono::milliseconds>(
                    std::chrono::system_clock::now().time_since_epoch())
@@ -97,6 +106,39 @@
     int exitStatus = -1;
 };
 
+// Guards against a process killed for memory: hundreds of clients that stop half way through a
+// large command, and one that floods, while the process stands still for tenths of a second.
+TEST_F(Program, BadClientsDoNotTakeTheProcessOverItsMemory) {
+    [[maybe_unused]] constexpr std::size_t kMemoryLimitKb = 32 * 1024;  // as in the configuration
+    endpoint(echo);
+    launch("127.0.0.1:0", 1024);
+    const auto address = waitForListenAddress();
+    ASSERT_TRUE(waitForEvent("ready"));
+    const std::string half =
+        "*5\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=any,d=500\r\n$131000\r\n" +
+        std::string(130'000, 'x');
+    for (int index = 0; index < 400; ++index)
+        connectTo(address).sendInBackground(half);
+    std::string pings;
+    while (pings.size() < 40'000'000)
+        pings += resp::command({"PING"});
+    auto &flooding = connectTo(address);
+    flooding.sendInBackground(pings);
+    for (int stops = 0; stops < 10; ++stops) {
+        kill(pid, SIGSTOP);
+        until([] { return false; }, 100ms);
+        kill(pid, SIGCONT);
+        until([] { return false; }, 200ms);
+    }
+    auto &usual = connectTo(address);
+    usual.send(request("usual"));
+    EXPECT_TRUE(until([&] { return usual.in == resp::bulk("of usual"); }, 3s)) << usual.in;
+#ifndef DECKCART_SANITIZED
+    // Not with sanitizers, which add memory of their own to each allocation.
+    EXPECT_LT(peakMemoryKb(), kMemoryLimitKb);
+#endif
+}
+
 // A second SIGTERM or a SIGHUP during a shutdown must not abort the requests in flight.
 TEST_F(Program, ASecondSignalAndANewConfigurationLeaveWhatIsInFlightAlone) {
     auto &target = endpoint(neverAnswer);
