Limit the number of fields of an HTTP head

Callers saw: memory of many times what clients sent, with heads of very many short fields. A field takes some 64 bytes besides its text.

Change: over 128 fields a head is refused as too large (431).

Measured: Parser.LimitsTheNumberOfFields passes; no run of the HTTP front under such heads was made.

--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -8,6 +8,10 @@
 // reaching the limit of the head.
 constexpr std::size_t kMaxEmptyLineBytes = 8;
 
+// Fields of a head. Each takes some 64 bytes besides its text, many times its length if it is
+// short.
+constexpr std::size_t kMaxFields = 128;
+
 /// Callbacks for http_parser, which accepts only C functions.
 struct ParserCallbacks {
     static Parser &getParser(http_parser *state) { return *static_cast<Parser *>(state->data); }
@@ -91,8 +95,10 @@
 }
 
 void Parser::storeField() {
+    if (head().headers.size() >= kMaxFields)
+        foundFault = Fault::headTooLarge;
     // Trailers are dropped, since the gateway does not forward fields that come after the body.
-    if (valueStarted && stage != Stage::chunked)
+    else if (valueStarted && stage != Stage::chunked)
         head().headers.emplace_back(std::move(fieldName), std::move(fieldValue));
     fieldName.clear();
     fieldValue.clear();
--- a/tests/unit/parser_test.cpp
+++ b/tests/unit/parser_test.cpp
@@ -110,6 +110,19 @@
               Fault::unsupported);
 }
 
+// Guards against memory of many times a head's length: a head of very many short fields.
+TEST(Parser, LimitsTheNumberOfFields) {
+    const auto headWith = [](int fields) {
+        std::string text = "GET /a HTTP/1.1\r\n" + kHost;
+        for (int index = 0; index < fields; ++index)
+            text += "a:b\r\n";
+        return text + "\r\n";
+    };
+    EXPECT_EQ(parse(headWith(100), 1000).fault, Fault::none);
+    EXPECT_EQ(parse(headWith(2000), 1000).fault, Fault::headTooLarge);
+    EXPECT_EQ(parse(headWith(2000), 1).fault, Fault::headTooLarge);
+}
+
 TEST(Parser, LimitsHeadAndTrailers) {
     const std::string fill(500, 'x');
     EXPECT_EQ(
