--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -51,9 +51,7 @@
 }
 
 PeerState ServerConnection::checkPeer() {
-    if (stream.isClosed())
-        return PeerState::closed;
-    const PeerState peer = peerState(stream.socket);
+    const PeerState peer = stream.peerState();
     if (peer == PeerState::closed)
         closeLater();
     return peer;
--- a/src/net/stream_socket.cpp
+++ b/src/net/stream_socket.cpp
@@ -2,6 +2,10 @@
 
 namespace deckcart::net {
 
+PeerState StreamSocket::peerState() {
+    return closed ? PeerState::closed : deckcart::peerState(socket);
+}
+
 bool StreamSocket::close(CloseMode how) {
     if (closed)
         return false;
--- a/src/net/stream_socket.hpp
+++ b/src/net/stream_socket.hpp
@@ -5,6 +5,8 @@
 #include <asio.hpp>
 #include <utility>
 
+#include "../base/socket.hpp"
+
 namespace deckcart::net {
 
 /// How a connection is closed. `graceful`: written bytes are still sent before it ends. `reset`: it
@@ -25,6 +27,9 @@
     /// Whether a wait started by awaitRead() is pending.
     bool isAwaitingRead() const { return awaitingRead; }
 
+    /// See deckcart::peerState(); `closed` if this side has closed the socket.
+    [[nodiscard]] PeerState peerState();
+
     /// Calls `handler(asio::error_code)` once from the event loop when there are bytes to read, the
     /// peer has closed the connection, or waiting has failed. The handler is not called after the
     /// socket was closed. Only one wait may be pending.
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -67,9 +67,7 @@
 }
 
 PeerState ServerConnection::checkPeer() {
-    if (stream.isClosed())
-        return PeerState::closed;
-    const PeerState peer = peerState(stream.socket);
+    const PeerState peer = stream.peerState();
     if (peer == PeerState::closed)
         closeLater();
     return peer;
@@ -87,7 +85,7 @@
 void ServerConnection::sweep(SteadyTime now, bool underPressure) {
     commandsSinceSweep = 0;
     const bool readingPaused = !stream.isAwaitingRead() && !peerClosedSending;
-    if (readingPaused && peerState(stream.socket) == PeerState::closed)
+    if (readingPaused && stream.peerState() == PeerState::closed)
         return onPeerClosed();
     read();
     scheduleReadAhead();
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -355,7 +355,7 @@
     connection.sendInBackground(commands);
     ASSERT_TRUE(until([&] { return !connection.in.empty(); }));
     EXPECT_TRUE(connection.in.starts_with("-BUSY")) << connection.in.substr(0, 40);
-    EXPECT_TRUE(until([&] { return connection.in.find("$") != std::string::npos; }))
+    EXPECT_TRUE(until([&] { return connection.in.find('$') != std::string::npos; }))
         << "once the rest has been read, requests are served";
     EXPECT_EQ(sendAndAwaitReply("usual"), resp::bulk("of usual"));
 }
