Leave a streamed response alone when its client's close can't be seen

A further attempt for a request whose response is being streamed was decided after the check of the client's socket, so a client of the HTTP front that had sent more than 16 KiB ahead would have had its stream broken off. From reading; the check now comes after it.

Measured: Platform.NoAttempt* and Platform.RequestsOf* pass.

--- a/src/gateway/attempt_dispatcher.cpp
+++ b/src/gateway/attempt_dispatcher.cpp
@@ -64,8 +64,6 @@
         endpoint = deps.endpoints.lastDraining();
     const PeerState client =
         request.answered ? PeerState::connected : request.downstream->clientState();
-    if (client == PeerState::unknown)
-        return refuseUnobservable(request, generation, decision.endpoint);
     // The client has closed the connection, and the event loop has not read the close yet.
     if (client == PeerState::closed)
         return endWithoutSending(request, generation, decision.endpoint, Outcome::obsolete, true);
@@ -74,6 +72,8 @@
     if (request.answered || request.isStreaming() ||
         deps.clock.lastTick() >= request.policyDeadline)
         return endWithoutSending(request, generation, decision.endpoint, Outcome::obsolete, false);
+    if (client == PeerState::unknown)
+        return refuseUnobservable(request, generation, decision.endpoint);
     const auto call = deps.upstreams.createCall(endpoint);
     if (!call)  // no address, or all connections are in use
         return endWithoutSending(request, generation, decision.endpoint, Outcome::connectFailed,
