Use what was there: outcome classes, derived state, admission's decisions

- AttemptContext::mayHaveRun() listed the outcomes that policy::provesNotRun() has.
- Both requests asked whether they are open before their exchange looked for a close; the exchange does so alone.
- Exchange::refused, ServerConnection::inFlightBytes and stalled could be derived, from refusedAt, the pipeline and the outgoing bytes.
- The listener told the pool the number of client connections, which the pool asks for itself.
- How many bytes may be read, and how far eviction goes, were chosen in the connection and the listener; connection_admission has both.
- Five places resumed reading and parsing with the same lines.

Bytes dropped at a client's close leave the count at once; otherwise behaviour is as before.

--- a/src/gateway/http_request.hpp
+++ b/src/gateway/http_request.hpp
@@ -22,9 +22,7 @@
     HttpRequest &operator=(const HttpRequest &) = delete;
 
     bool isOpen() const override { return exchange->open(); }
-    PeerState clientState() const override {
-        return isOpen() ? exchange->peerState() : PeerState::closed;
-    }
+    PeerState clientState() const override { return exchange->peerState(); }
     void respondShed(const std::string &requestId, Duration retryAfter) override;
     void respondError(const std::string &requestId, bool late) override;
     void respond(UpstreamCall &upstreamCall, std::string_view responseBody) override;
--- a/src/gateway/request_context.hpp
+++ b/src/gateway/request_context.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "../policy/outcomes.hpp"
 #include "transport.hpp"
 
 namespace deckcart {
@@ -28,10 +29,7 @@
 
     /// Whether the endpoint may have executed the request.
     bool mayHaveRun() const {
-        if (!ended)
-            return call->startedSending();
-        return outcome != Outcome::connectFailed && outcome != Outcome::overloaded &&
-               outcome != Outcome::obsolete;
+        return ended ? !policy::provesNotRun(outcome) : call->startedSending();
     }
 };
 
--- a/src/http/exchange.cpp
+++ b/src/http/exchange.cpp
@@ -15,7 +15,7 @@
 
 PeerState Exchange::peerState() const {
     const auto server = connection.lock();
-    return server ? server->checkPeer() : PeerState::closed;
+    return server && !ended ? server->checkPeer() : PeerState::closed;
 }
 
 void Exchange::answer(ResponseHead response, std::string_view text) {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -46,7 +46,7 @@
     /// Whether the peer is connected and the response has not ended.
     bool open() const;
     /// Checks the socket for a close by the peer that was not read yet. If there is one, onGone is
-    /// called from the event loop.
+    /// called from the event loop. `closed` unless open().
     PeerState peerState() const;
     /// Whether the response has started.
     bool answered() const { return started; }
--- a/src/platform/downstream.cpp
+++ b/src/platform/downstream.cpp
@@ -25,9 +25,7 @@
     RespRequest &operator=(const RespRequest &) = delete;
 
     bool isOpen() const override { return exchange->open(); }
-    PeerState clientState() const override {
-        return isOpen() ? exchange->peerState() : PeerState::closed;
-    }
+    PeerState clientState() const override { return exchange->peerState(); }
     void onAttemptStart() override { forwarded = true; }
     void respondShed(const std::string &, Duration retryAfter) override {
         const auto retryAfterMs = retryAfter.count() / 1000;
--- a/src/platform/transport.cpp
+++ b/src/platform/transport.cpp
@@ -14,8 +14,7 @@
                                                     configuration.settings, std::move(handler));
     respDownstream = created.get();
     // The gateway destroys the downstream before the pool.
-    created->borrowSockets(
-        [pool = upstreamPool](std::size_t open) { return pool->lendSocket(open); });
+    created->borrowSockets([pool = upstreamPool] { return pool->lendSocket(); });
     upstreamPool->observeClients([clients = respDownstream] { return clients->connections(); });
     return created;
 }
--- a/src/platform/upstream_pool.cpp
+++ b/src/platform/upstream_pool.cpp
@@ -110,13 +110,14 @@
 }
 
 std::size_t RespUpstreamPool::connectionLimit() const {
-    return upstreamConnectionLimit(limits, clientCount ? clientCount() : 0);
+    return upstreamConnectionLimit(limits, clientCount());
 }
 
-bool RespUpstreamPool::lendSocket(std::size_t openClientConnections) {
-    if (openClientConnections >= clientConnectionLimit(limits, connectionsInUse))
+bool RespUpstreamPool::lendSocket() {
+    const std::size_t clients = clientCount();
+    if (clients >= clientConnectionLimit(limits, connectionsInUse))
         return false;
-    const std::size_t remaining = upstreamConnectionLimit(limits, openClientConnections + 1);
+    const std::size_t remaining = upstreamConnectionLimit(limits, clients + 1);
     return reduceBelow(remaining + 1);
 }
 
--- a/src/platform/upstream_pool.hpp
+++ b/src/platform/upstream_pool.hpp
@@ -30,8 +30,8 @@
     void probe(const EndpointId &endpoint, ProbeCallback done) override;
     /// Makes room for one more connection of a client beyond the clients' share of the sockets, by
     /// closing idle connections. False if endpoints need their share.
-    [[nodiscard]] bool lendSocket(std::size_t openClientConnections);
-    /// Tells how many connections clients hold. Without it, clients borrow nothing.
+    [[nodiscard]] bool lendSocket();
+    /// Tells how many connections clients hold. Call before clients connect.
     void observeClients(std::function<std::size_t()> count) { clientCount = std::move(count); }
     /// Number of open connections, in use and idle.
     [[nodiscard]] std::size_t connections() const { return connectionsInUse + idle.size(); }
@@ -68,7 +68,7 @@
     const simulator::DeploymentSettings &settings;
     IdlePool idle;
     std::size_t connectionsInUse = 0;
-    std::function<std::size_t()> clientCount;
+    std::function<std::size_t()> clientCount = [] { return std::size_t{0}; };
     CallbackGuard callbacks;
 };
 
--- a/src/resp/connection_admission.cpp
+++ b/src/resp/connection_admission.cpp
@@ -1,5 +1,7 @@
 #include "connection_admission.hpp"
 
+#include <algorithm>
+
 namespace deckcart::resp {
 
 namespace {
@@ -26,6 +28,20 @@
     return connection.idleTime > limits.idleTimeoutUnderPressure ? kIdle : kNever;
 }
 
+std::size_t allowedReadBytes(const HeldCommandBytes &held, const ListenerLimits &limits) {
+    const std::size_t readAheadLeft =
+        limits.readAheadBytes - std::min(limits.readAheadBytes, held.readAhead);
+    if (held.allConnections < limits.commandBytes)
+        return readAheadLeft;
+    const std::size_t allowanceLeft =
+        limits.commandAllowance - std::min(limits.commandAllowance, held.connection);
+    return std::min(readAheadLeft, allowanceLeft);
+}
+
+std::size_t commandBytesAfterEviction(const ListenerLimits &limits) {
+    return limits.commandBytes / 2;
+}
+
 bool isIncompleteTooLong(const ConnectionState &connection, const ListenerLimits &limits) {
     return !connection.inFlight && connection.commandStarted &&
            connection.commandAge >= limits.incompleteCommandGrace;
--- a/src/resp/connection_admission.hpp
+++ b/src/resp/connection_admission.hpp
@@ -80,6 +80,20 @@
 /// Priority for eviction: connections with a higher value are evicted first, those with 0 never.
 int evictionPriority(const ConnectionState &connection, const ListenerLimits &limits);
 
+/// Bytes of commands held at one moment.
+struct HeldCommandBytes {
+    std::size_t readAhead = 0;       ///< of one connection, not parsed yet
+    std::size_t connection = 0;      ///< of this connection: read ahead, read in part and in flight
+    std::size_t allConnections = 0;  ///< the same of all connections of the listener
+};
+
+/// The most bytes that a connection may read now; 0: reading pauses.
+std::size_t allowedReadBytes(const HeldCommandBytes &held, const ListenerLimits &limits);
+
+/// At the limit of command bytes, incomplete commands are given up until fewer bytes than these are
+/// held.
+std::size_t commandBytesAfterEviction(const ListenerLimits &limits);
+
 /// Whether an incomplete command may be given up for others: its connection has no command in
 /// flight and its first byte came longer ago than `incompleteCommandGrace`.
 bool isIncompleteTooLong(const ConnectionState &connection, const ListenerLimits &limits);
--- a/src/resp/exchange.cpp
+++ b/src/resp/exchange.cpp
@@ -14,13 +14,12 @@
 
 PeerState Exchange::peerState() const {
     const auto server = connection.lock();
-    return server ? server->checkPeer() : PeerState::closed;
+    return server && !answered ? server->checkPeer() : PeerState::closed;
 }
 
 void Exchange::refuse(std::string_view message) {
-    if (answered || refused)
+    if (answered || refusedAt)
         return;
-    refused = true;
     refusedAt = std::chrono::steady_clock::now();
     reply = error(message);
     onGone = nullptr;
--- a/src/resp/listener.cpp
+++ b/src/resp/listener.cpp
@@ -108,8 +108,7 @@
 }
 
 bool Listener::Core::makePlace() {
-    const std::size_t open = openConnections.size();
-    return open < limits.connections || evictOne() || (lender && lender(open));
+    return openConnections.size() < limits.connections || evictOne() || (lender && lender());
 }
 
 bool Listener::Core::evictOne() {
@@ -134,7 +133,7 @@
     std::ranges::sort(incomplete, std::greater{},
                       [](const auto &connection) { return connection->commandBytes(); });
     for (const auto &connection : incomplete) {
-        if (commandBytes < limits.commandBytes / 2)
+        if (commandBytes < commandBytesAfterEviction(limits))
             return;
         connection->close(net::CloseMode::graceful);
         ++evictions;
--- a/src/resp/listener_core.hpp
+++ b/src/resp/listener_core.hpp
@@ -30,7 +30,7 @@
     /// Closes the connection with the highest eviction priority; false if none can be evicted.
     bool evictOne();
     /// At the limit of command bytes, closes connections whose command stays incomplete, those that
-    /// hold the most first, until half of the limit is free.
+    /// hold the most first; see commandBytesAfterEviction().
     void evictIncompleteCommands(SteadyTime now);
     /// The connection to evict, or nullptr. Among equal priorities, the one idle for the longest.
     std::shared_ptr<ServerConnection> evictionCandidate(SteadyTime now) const;
--- a/src/resp/server.hpp
+++ b/src/resp/server.hpp
@@ -6,6 +6,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "../base/socket.hpp"
 #include "connection_admission.hpp"
@@ -35,7 +36,7 @@
     /// Whether the peer is connected and no reply was given.
     bool open() const { return !answered && !connection.expired(); }
     /// Checks the socket for a close by the peer that was not read yet. If there is one, onGone is
-    /// called from the event loop.
+    /// called from the event loop. `closed` unless open().
     PeerState peerState() const;
     /// Sends a serialized reply.
     void answer(std::string bytes);
@@ -51,8 +52,7 @@
     std::string reply;
     std::size_t commandBytes = 0;  // of args, as received
     bool answered = false;
-    bool refused = false;
-    SteadyTime refusedAt{};
+    std::optional<SteadyTime> refusedAt;  // of a refused command
 };
 
 /// Listens from construction to destruction. Runs on the event loop's thread only.
@@ -63,9 +63,8 @@
     /// on the address.
     Listener(asio::io_context &context, const asio::ip::tcp::endpoint &address,
              const ListenerLimits &limits, Handler handler);
-    /// Asked at the connection limit, with the number of open connections, whether one more may be
-    /// accepted.
-    using PlaceLender = std::function<bool(std::size_t open)>;
+    /// Asked at the connection limit whether one more connection may be accepted.
+    using PlaceLender = std::function<bool()>;
     /// Accepts connections beyond the limit as far as the lender allows, if none can be evicted.
     void borrowPlaces(PlaceLender lender);
     /// Starts accepting. May be called once.
--- a/src/resp/server_connection.cpp
+++ b/src/resp/server_connection.cpp
@@ -47,7 +47,7 @@
     };
     ConnectionState result;
     result.inFlight = !pipeline.empty();
-    result.refused = result.inFlight && pipeline.front()->refused;
+    result.refused = result.inFlight && pipeline.front()->refusedAt.has_value();
     result.errorDue = errorWait(now) >= listener->limits.refusalDelay;
     result.lingering = lingering;
     result.receivedAny = receivedAny;
@@ -87,8 +87,7 @@
     const bool readingPaused = !stream.isAwaitingRead() && !peerClosedSending;
     if (readingPaused && stream.peerState() == PeerState::closed)
         return onPeerClosed();
-    read();
-    scheduleReadAhead();
+    resumeInput();
     switch (timeoutAction(state(now), listener->limits, underPressure)) {
     case TimeoutAction::none:
         return;
@@ -135,9 +134,10 @@
     if (stream.isClosed())
         return;
     bool anyAnswered = false;
+    if (outgoing.empty())
+        lastWriteProgress = steadyNow();
     while (!pipeline.empty() && pipeline.front()->answered) {
         outgoing.append(pipeline.front()->reply);
-        inFlightBytes -= pipeline.front()->commandBytes;
         pipeline.pop_front();
         anyAnswered = true;
     }
@@ -150,7 +150,7 @@
 
 Exchange *ServerConnection::pendingRefusal() const {
     const auto found = std::ranges::find_if(
-        pipeline, [](const auto &exchange) { return exchange->refused && !exchange->answered; });
+        pipeline, [](const auto &exchange) { return exchange->refusedAt && !exchange->answered; });
     return found == pipeline.end() ? nullptr : found->get();
 }
 
@@ -158,7 +158,7 @@
     const Exchange *refusal = pendingRefusal();
     if (!refusal)
         return std::nullopt;
-    return std::chrono::duration_cast<Duration>(now - refusal->refusedAt);
+    return std::chrono::duration_cast<Duration>(now - *refusal->refusedAt);
 }
 
 bool ServerConnection::canAcceptCommand() const {
@@ -168,23 +168,20 @@
 }
 
 std::size_t ServerConnection::readCapacity() const {
-    const ListenerLimits &limits = listener->limits;
     const std::size_t bufferSize = listener->readBuffer.size();
     if (lingering || inputFaulty)
         return bufferSize;
-    const auto left = [](std::size_t limit, std::size_t used) {
-        return limit - std::min(limit, used);
-    };
-    const std::size_t capacity =
-        std::min(bufferSize, left(limits.readAheadBytes, readAhead.size()));
-    if (listener->commandBytes < limits.commandBytes)
-        return capacity;
-    return std::min(capacity, left(limits.commandAllowance, countedBytes));
+    const HeldCommandBytes held{readAhead.size(), countedBytes, listener->commandBytes};
+    return std::min(bufferSize, allowedReadBytes(held, listener->limits));
 }
 
 void ServerConnection::countCommandBytes() {
-    const std::size_t held =
-        stream.isClosed() ? 0 : inFlightBytes + readAhead.size() + parser.bufferedBytes();
+    std::size_t held = 0;
+    if (!stream.isClosed()) {
+        held = readAhead.size() + parser.bufferedBytes();
+        for (const auto &exchange : pipeline)
+            held += exchange->commandBytes;
+    }
     listener->commandBytes += held - countedBytes;
     countedBytes = held;
 }
@@ -225,11 +222,12 @@
 // A peer that has closed its sending side is treated as gone, unless it still gets a delayed error.
 // What it sent and was not taken yet is dropped.
 void ServerConnection::onPeerClosed() {
-    const bool errorPending = !pipeline.empty() && pipeline.front()->refused;
+    const bool errorPending = !pipeline.empty() && pipeline.front()->refusedAt.has_value();
     if (!errorPending)
         return close(CloseMode::graceful);
     peerClosedSending = true;
     readAhead.clear();
+    countCommandBytes();
 }
 
 std::shared_ptr<Exchange> ServerConnection::addExchange() {
@@ -243,8 +241,7 @@
     if (mayProcessReadAhead())
         takeCommand();
     countCommandBytes();
-    read();
-    scheduleReadAhead();
+    resumeInput();
 }
 
 void ServerConnection::takeCommand() {
@@ -258,7 +255,6 @@
     ++commandsSinceSweep;
     const auto exchange = addExchange();
     exchange->commandBytes = parser.bufferedBytes();
-    inFlightBytes += exchange->commandBytes;
     for (auto &item : parser.take().items)
         exchange->args.push_back(std::move(*item));
     listener->handler(exchange);
@@ -269,6 +265,12 @@
            canAcceptCommand();
 }
 
+// Goes on after a change of what pauses reading or parsing. Does nothing if both are still paused.
+void ServerConnection::resumeInput() {
+    read();
+    scheduleReadAhead();
+}
+
 // Posted to the event loop, so that many pipelined commands neither recurse nor delay other
 // connections.
 void ServerConnection::scheduleReadAhead() {
@@ -295,34 +297,27 @@
         return;
     refusal->answered = true;
     onAnswered();
-    read();
-    scheduleReadAhead();
+    resumeInput();
 }
 
 void ServerConnection::write() {
     if (writing || stream.isClosed())
         return;
-    if (outgoing.empty())
-        return onAllWritten();
     asio::error_code fault;
-    std::size_t written = 0;
     while (!outgoing.empty() && !fault) {
         const std::string_view unsent = outgoing.view();
         const auto size =
             stream.socket.write_some(asio::buffer(unsent.data(), unsent.size()), fault);
         outgoing.consume(size);
-        written += size;
+        if (size > 0)
+            lastWriteProgress = steadyNow();
     }
     if (fault && fault != asio::error::would_block)
         return closeLater();
-    if (written > 0 || !stalled)
-        lastWriteProgress = steadyNow();
-    stalled = !outgoing.empty();
-    if (!stalled)
+    if (outgoing.empty())
         return onAllWritten();
     awaitWritable();
-    read();
-    scheduleReadAhead();
+    resumeInput();
 }
 
 void ServerConnection::onAllWritten() {
@@ -330,8 +325,7 @@
         return close(CloseMode::graceful);
     if (pipeline.empty() && inputFaulty)
         return linger();
-    read();
-    scheduleReadAhead();
+    resumeInput();
     if (listener->draining)
         drain();
 }
--- a/src/resp/server_connection.hpp
+++ b/src/resp/server_connection.hpp
@@ -63,6 +63,7 @@
     std::size_t readCapacity() const;
     /// Counts the bytes of commands that are held now.
     void countCommandBytes();
+    void resumeInput();
     void scheduleReadAhead();
     void fail(const std::string &message);
     void sendDueError();
@@ -78,15 +79,13 @@
     std::deque<std::shared_ptr<Exchange>> pipeline;  // commands in flight, in order
     ByteQueue readAhead;                             // received and not parsed yet
     ByteQueue outgoing;
-    std::size_t inFlightBytes = 0;  // of the commands in the pipeline
-    std::size_t countedBytes = 0;   // of commands, as counted for the listener
+    std::size_t countedBytes = 0;  // of commands, as counted for the listener
     std::size_t commandsSinceSweep = 0;
     std::size_t discardedBytes = 0;  // of the peer, after invalid input or while closing
     SteadyTime lastActiveTime;
     SteadyTime commandStartTime{};   // when the current command's first byte was read
     SteadyTime lastWriteProgress{};  // when the socket last accepted bytes
     bool writing = false;            // waits until the socket is writable
-    bool stalled = false;            // the socket did not accept all bytes of the last write
     bool inputFaulty = false;        // invalid input was received; further input is discarded
     bool lingering = false;          // sending side shut down, waiting for the peer to close
     bool receivedAny = false;        // bytes were read
