Share the commands that several tests send; unit test of allowedReadBytes()

Two tests built their requests, and two the same half command, with lines of their own; the platform's fixture has both. The decision that moved to connection_admission has a unit test.

--- a/tests/path/platform_fixture.hpp
+++ b/tests/path/platform_fixture.hpp
@@ -286,6 +286,18 @@
         return resp::command(
             {"Q.DO", "key-" + id, id, "c=" + route + ",t=x,d=" + wait + ",k=1f", "body"});
     }
+    // Requests r0, r1 and so on, of at least as many bytes.
+    static std::string requestsOfBytes(std::size_t size) {
+        std::string requests;
+        for (int index = 0; requests.size() < size; ++index)
+            requests += request("r" + std::to_string(index));
+        return requests;
+    }
+    // A large command of which the last bytes are missing, with so many bytes of its body.
+    static std::string incompleteLargeCommand(std::size_t bodyBytes) {
+        return "*5\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=any,d=500\r\n$131000\r\n" +
+               std::string(bodyBytes, 'x');
+    }
     static bool isWholeReply(const std::string &bytes) {
         resp::Parser parser(resp::Parser::What::reply, {4, 4000000, 4000000, 512});
         parser.feed(bytes);
--- a/tests/path/platform_test.cpp
+++ b/tests/path/platform_test.cpp
@@ -224,11 +224,8 @@
     endpoint(echo);
     startGateway(1024);
     constexpr std::size_t kClients = 150;
-    const std::string half =
-        "*5\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=any,d=500\r\n$131000\r\n" +
-        std::string(100'000, 'x');
     for (std::size_t index = 0; index < kClients; ++index)
-        client().sendInBackground(half);
+        client().sendInBackground(incompleteLargeCommand(100'000));
     // An eighth of 32 MiB, each client's allowance, and the one read that reaches the limit.
     const std::size_t bound = 4'194'304 + kClients * 4096 + 16'384;
     const auto &downstream = *transport->respDownstream;
@@ -320,10 +317,7 @@
     endpoint(neverAnswer);
     startGateway();
     auto &leaving = client();
-    std::string commands;
-    for (int index = 0; commands.size() < 40'000; ++index)
-        commands += request("r" + std::to_string(index));
-    leaving.send(commands);
+    leaving.send(requestsOfBytes(40'000));
     // The first request is in flight, so that reading pauses.
     ASSERT_TRUE(until([&] {
         return transport->respDownstream->listenerStatistics().bufferedBytes >=
@@ -349,10 +343,7 @@
     endpoint(echo);
     startGateway();
     auto &connection = client();
-    std::string commands;
-    for (int index = 0; commands.size() < 100'000; ++index)
-        commands += request("r" + std::to_string(index));
-    connection.sendInBackground(commands);
+    connection.sendInBackground(requestsOfBytes(100'000));
     ASSERT_TRUE(until([&] { return !connection.in.empty(); }));
     EXPECT_TRUE(connection.in.starts_with("-BUSY")) << connection.in.substr(0, 40);
     EXPECT_TRUE(until([&] { return connection.in.find('$') != std::string::npos; }))
--- a/tests/path/program_test.cpp
+++ b/tests/path/program_test.cpp
@@ -114,11 +114,8 @@
     launch("127.0.0.1:0", 1024);
     const auto address = waitForListenAddress();
     ASSERT_TRUE(waitForEvent("ready"));
-    const std::string half =
-        "*5\r\n$5\r\nQ.ASK\r\n$1\r\nk\r\n$1\r\ni\r\n$11\r\nc=any,d=500\r\n$131000\r\n" +
-        std::string(130'000, 'x');
     for (int index = 0; index < 400; ++index)
-        connectTo(address).sendInBackground(half);
+        connectTo(address).sendInBackground(incompleteLargeCommand(130'000));
     std::string pings;
     while (pings.size() < 40'000'000)
         pings += resp::command({"PING"});
--- a/tests/unit/connection_admission_test.cpp
+++ b/tests/unit/connection_admission_test.cpp
@@ -68,5 +68,16 @@
     EXPECT_GT(priority(silent(1s)), priority(idle(3s)));
 }
 
+// Guards against memory that grows with the number of clients.
+TEST_F(ConnectionAdmissionTest, AtTheLimitOfAllEachConnectionKeepsItsAllowance) {
+    const std::size_t all = limits.commandBytes;
+    EXPECT_EQ(allowedReadBytes({0, 100'000, all - 1}, limits), limits.readAheadBytes);
+    EXPECT_EQ(allowedReadBytes({limits.readAheadBytes, 0, 0}, limits), 0u);
+    EXPECT_EQ(allowedReadBytes({0, 0, all}, limits), limits.commandAllowance);
+    EXPECT_EQ(allowedReadBytes({100, 100, all}, limits), limits.commandAllowance - 100);
+    EXPECT_EQ(allowedReadBytes({0, limits.commandAllowance, all}, limits), 0u);
+    EXPECT_LT(commandBytesAfterEviction(limits), all);
+}
+
 }  // namespace
 }  // namespace deckcart::resp
